Add the workspace, base, net, events and metrics libraries and the design

Cause: the project starts from nothing; every other part needs a shared result type, clock types, bounded parsing, an event loop with HTTP, numbered events and metrics. Conclusion: libraries can now be built side by side on these interfaces.

--- /dev/null
+++ b/libs/events/catalogue.cpp
@@ -0,0 +1,123 @@
+#include "events/catalogue.h"
+
+#include <algorithm>
+#include <array>
+
+namespace boragedoor::events {
+
+namespace {
+
+using enum event_number;
+using enum severity;
+
+constexpr auto kinds = std::to_array<event_kind>({
+    {daemon_started, info, "daemon_started",
+     "The daemon has read its settings and started its listeners."},
+    {daemon_ready, info, "daemon_ready",
+     "The instance has an accepted configuration and serves requests."},
+    {drain_started, info, "drain_started",
+     "The instance was told to stop; it has left the address lookup."},
+    {drain_finished, info, "drain_finished",
+     "All requests have ended and all shards are handed over."},
+    {instance_isolated, error, "instance_isolated",
+     "No evidence of freshness within the limit: keyed requests are refused."},
+    {instance_evidence_restored, info, "instance_evidence_restored",
+     "Evidence of freshness is back: keyed requests are served again."},
+    {configuration_applied, info, "configuration_applied",
+     "A configuration revision is now in force on this instance."},
+    {configuration_proposed, info, "configuration_proposed",
+     "An operator proposed a configuration through this instance."},
+    {configuration_rejected, warning, "configuration_rejected",
+     "A proposed configuration was not accepted."},
+    {key_issued, info, "key_issued", "A workspace key was issued; only its id is recorded."},
+    {key_withdrawn, warning, "key_withdrawn", "A workspace key was withdrawn."},
+    {lease_acquired, info, "lease_acquired", "This instance now holds a shard."},
+    {lease_lost, warning, "lease_lost",
+     "A lease expired or could not be renewed; the shard is stopped."},
+    {lease_released, info, "lease_released", "This instance gave a shard up on purpose."},
+    {takeover_waiting, warning, "takeover_waiting",
+     "Orders wait until the former holder is known to have stopped."},
+    {takeover_cleared, info, "takeover_cleared",
+     "The former holder is known to have stopped; orders are sent again."},
+    {order_sent, info, "order_sent", "An order was sent to the platform."},
+    {order_confirmed, info, "order_confirmed", "The platform confirmed an order."},
+    {order_refused, warning, "order_refused", "The platform refused an order."},
+    {peer_connected, info, "peer_connected", "A link to another instance was established."},
+    {peer_disconnected, warning, "peer_disconnected", "A link to another instance was lost."},
+    {membership_changed, info, "membership_changed", "The list of instances changed."},
+    {request_accepted, debug, "request_accepted", "A request passed its checks."},
+    {request_refused, info, "request_refused", "A request was refused."},
+    {attempt_started, debug, "attempt_started", "A request was sent to an endpoint."},
+    {attempt_failed, warning, "attempt_failed", "An attempt at an endpoint failed."},
+    {request_finished, debug, "request_finished", "The whole answer was sent to the caller."},
+    {request_cancelled, info, "request_cancelled",
+     "The caller left, or its key was withdrawn, before the answer was whole."},
+    {request_retried, info, "request_retried", "A request is tried again."},
+    {request_quarantined, error, "request_quarantined",
+     "A request that brought down two endpoints is held back."},
+    {attempt_hedged, info, "attempt_hedged", "A second attempt of a slow sample was started."},
+    {endpoint_added, info, "endpoint_added", "An endpoint became available."},
+    {endpoint_draining, info, "endpoint_draining",
+     "An endpoint gets no new work because it is leaving."},
+    {endpoint_removed, info, "endpoint_removed", "An endpoint has left."},
+    {endpoint_set_aside, warning, "endpoint_set_aside",
+     "An endpoint gets no new work because of bad health evidence."},
+    {endpoint_restored, info, "endpoint_restored",
+     "An endpoint that was set aside gets work again."},
+    {step_opened, info, "step_opened", "A trainer opened a step."},
+    {batch_committed, info, "batch_committed", "A batch of samples is durable in the store."},
+    {batch_delivered, info, "batch_delivered",
+     "A batch was marked as delivered and sent to the trainer."},
+    {batch_acknowledged, info, "batch_acknowledged", "The trainer acknowledged a batch."},
+    {batch_voided, warning, "batch_voided",
+     "An undelivered batch exceeded the staleness bound; its samples run again."},
+    {weights_announced, info, "weights_announced", "A trainer published a weight version."},
+    {weights_swapped, info, "weights_swapped", "An endpoint serves a new weight version."},
+    {weights_swap_failed, warning, "weights_swap_failed",
+     "An endpoint failed to load a weight version."},
+    {usage_window_frozen, info, "usage_window_frozen",
+     "The figures of a usage window are final in the store."},
+    {usage_window_reported, info, "usage_window_reported", "The usage intake confirmed a window."},
+    {usage_late_fact, warning, "usage_late_fact",
+     "Usage of a frozen window was moved to a later window."},
+    {store_unavailable, warning, "store_unavailable", "The store does not answer."},
+    {store_available, info, "store_available", "The store answers again."},
+    {store_readback, info, "store_readback",
+     "The outcome of a store call was unknown and was read back."},
+});
+
+} // namespace
+
+std::string_view to_string(severity level) {
+  switch (level) {
+  case debug:
+    return "debug";
+  case info:
+    return "info";
+  case warning:
+    return "warning";
+  case error:
+    return "error";
+  }
+  return "unknown";
+}
+
+std::span<const event_kind> catalogue() {
+  return kinds;
+}
+
+std::optional<event_kind> find_kind(int number) {
+  const auto* it = std::ranges::find(
+      kinds, number, [](const event_kind& kind) { return static_cast<int>(kind.number); });
+  if (it == kinds.end()) {
+    return std::nullopt;
+  }
+  return *it;
+}
+
+const event_kind& describe(event_number number) {
+  // Every enumerator has a row; a test compares the two.
+  return *std::ranges::find(kinds, number, &event_kind::number);
+}
+
+} // namespace boragedoor::events
--- /dev/null
+++ b/libs/net/http_client.cpp
@@ -0,0 +1,345 @@
+#include "net/http_client.h"
+
+#include <map>
+#include <optional>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+namespace boragedoor::net {
+
+namespace {
+
+// Idle connections kept per target. More would only hold descriptors on the endpoint.
+constexpr std::size_t max_idle_per_target = 8;
+
+// evhttp's own timer must never fire before ours, which knows what to report.
+constexpr int evhttp_timeout_seconds = 24 * 60 * 60;
+
+std::optional<evhttp_cmd_type> method_type(std::string_view name) {
+  if (name == "GET") {
+    return EVHTTP_REQ_GET;
+  }
+  if (name == "POST") {
+    return EVHTTP_REQ_POST;
+  }
+  if (name == "PUT") {
+    return EVHTTP_REQ_PUT;
+  }
+  if (name == "DELETE") {
+    return EVHTTP_REQ_DELETE;
+  }
+  if (name == "PATCH") {
+    return EVHTTP_REQ_PATCH;
+  }
+  if (name == "HEAD") {
+    return EVHTTP_REQ_HEAD;
+  }
+  return std::nullopt;
+}
+
+/// A connection and the count of bytes that it handed to the network.
+struct client_connection {
+  evhttp_connection* handle = nullptr;
+  std::size_t bytes_sent = 0;
+
+  static void on_output(evbuffer* /*buf*/, const evbuffer_cb_info* info, void* self) {
+    static_cast<client_connection*>(self)->bytes_sent += info->n_deleted;
+  }
+};
+
+} // namespace
+
+struct http_client::impl : std::enable_shared_from_this<http_client::impl> {
+  class call;
+
+  event_loop& loop;
+  std::map<address, std::vector<client_connection*>> idle;
+  std::unordered_set<call*> active;
+
+  explicit impl(event_loop& owner) : loop(owner) {}
+
+  client_connection* take_connection(const address& target) {
+    auto& list = idle[target];
+    if (!list.empty()) {
+      client_connection* conn = list.back();
+      list.pop_back();
+      return conn;
+    }
+    bufferevent* bev =
+        bufferevent_socket_new(loop.native(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    auto* conn = new client_connection;
+    conn->handle = evhttp_connection_base_bufferevent_new(loop.native(), nullptr, bev,
+                                                          target.host.c_str(), target.port);
+    evhttp_connection_set_timeout(conn->handle, evhttp_timeout_seconds);
+    evhttp_connection_set_retries(conn->handle, 0);
+    evbuffer_add_cb(bufferevent_get_output(bev), &client_connection::on_output, conn);
+    return conn;
+  }
+
+  void keep_connection(const address& target, client_connection* conn) {
+    auto& list = idle[target];
+    if (list.size() >= max_idle_per_target) {
+      free_connection(conn);
+      return;
+    }
+    list.push_back(conn);
+  }
+
+  static void free_connection(client_connection* conn) {
+    evbuffer_remove_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(conn->handle)),
+                       &client_connection::on_output, conn);
+    evhttp_connection_free(conn->handle);
+    delete conn;
+  }
+
+  void free_connection_later(client_connection* conn) {
+    // evhttp may still use the connection after the callback that is running now.
+    loop.post([conn] { free_connection(conn); });
+  }
+};
+
+/// One call. It keeps itself alive until its end is reported.
+class http_client::impl::call final : public http_call, public std::enable_shared_from_this<call> {
+public:
+  call(std::shared_ptr<impl> owner, http_call_spec spec, http_callbacks callbacks)
+      : owner_(std::move(owner)), spec_(std::move(spec)), callbacks_(std::move(callbacks)),
+        progress_timer_(owner_->loop, [this] { expire("no byte from the server in time"); }),
+        total_timer_(owner_->loop, [this] { expire("the call took longer than allowed"); }) {}
+
+  void start() {
+    self_ = shared_from_this();
+    owner_->active.insert(this);
+    progress_timer_.start_once(spec_.progress_timeout);
+    if (spec_.total_timeout > duration::zero()) {
+      total_timer_.start_once(spec_.total_timeout);
+    }
+    const auto type = method_type(spec_.method);
+    if (!type) {
+      fail_later(error{error_code::invalid_argument, "unsupported method " + spec_.method});
+      return;
+    }
+    connection_ = owner_->take_connection(spec_.target);
+    connection_->bytes_sent = 0;
+    evhttp_connection_set_max_body_size(connection_->handle,
+                                        static_cast<ev_ssize_t>(spec_.max_body_bytes));
+    request_ = evhttp_request_new(&call::on_done, this);
+    evhttp_request_set_header_cb(request_, &call::on_headers);
+    evhttp_request_set_error_cb(request_, &call::on_error);
+    if (callbacks_.on_chunk) {
+      evhttp_request_set_chunked_cb(request_, &call::on_chunk);
+    }
+    evkeyvalq* fields = evhttp_request_get_output_headers(request_);
+    evhttp_add_header(fields, "Host", to_string(spec_.target).c_str());
+    for (const auto& [key, value] : spec_.fields) {
+      evhttp_add_header(fields, key.c_str(), value.c_str());
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(request_), spec_.body.data(), spec_.body.size());
+    if (evhttp_make_request(connection_->handle, request_, *type, spec_.path.c_str()) != 0) {
+      // evhttp has freed the request.
+      request_ = nullptr;
+      fail_later(error{error_code::unavailable, "cannot connect to " + to_string(spec_.target)});
+    }
+  }
+
+  void cancel() override {
+    if (!self_) {
+      return;
+    }
+    const auto keep = release();
+    if (connection_ != nullptr) {
+      close_connection();
+    }
+  }
+
+private:
+  static void on_headers_impl(call& it, evhttp_request* raw) {
+    it.progressed();
+    it.reply_.status = evhttp_request_get_response_code(raw);
+    const evkeyvalq* fields = evhttp_request_get_input_headers(raw);
+    for (const evkeyval* field = fields->tqh_first; field != nullptr;
+         field = field->next.tqe_next) {
+      it.reply_.fields.emplace_back(field->key, field->value);
+    }
+    if (it.callbacks_.on_headers) {
+      it.callbacks_.on_headers(it.reply_);
+    }
+  }
+
+  static int on_headers(evhttp_request* raw, void* self) {
+    auto& it = *static_cast<call*>(self);
+    if (it.self_) {
+      const auto keep = it.self_;
+      on_headers_impl(it, raw);
+    }
+    return 0;
+  }
+
+  static void on_chunk(evhttp_request* raw, void* self) {
+    auto& it = *static_cast<call*>(self);
+    if (!it.self_) {
+      return;
+    }
+    const auto keep = it.self_;
+    it.progressed();
+    evbuffer* buf = evhttp_request_get_input_buffer(raw);
+    std::string data(evbuffer_get_length(buf), '\0');
+    evbuffer_copyout(buf, data.data(), data.size());
+    it.callbacks_.on_chunk(data);
+  }
+
+  static void on_error(evhttp_request_error what, void* self) {
+    static_cast<call*>(self)->evhttp_error_ = what;
+  }
+
+  static void on_done(evhttp_request* raw, void* self) {
+    auto& it = *static_cast<call*>(self);
+    // evhttp frees the request after this callback.
+    it.request_ = nullptr;
+    if (!it.self_) {
+      return;
+    }
+    if (raw == nullptr || it.evhttp_error_ || evhttp_request_get_response_code(raw) == 0) {
+      it.fail(it.describe_error());
+      return;
+    }
+    it.succeed(raw);
+  }
+
+  error describe_error() const {
+    const std::string place = " (" + to_string(spec_.target) + ')';
+    if (!evhttp_error_) {
+      return {error_code::unavailable, "connection refused or reset" + place};
+    }
+    switch (*evhttp_error_) {
+    case EVREQ_HTTP_TIMEOUT:
+      return {error_code::timeout, "the server did not answer in time" + place};
+    case EVREQ_HTTP_EOF:
+      return {error_code::unavailable, "the server closed the connection early" + place};
+    case EVREQ_HTTP_INVALID_HEADER:
+      return {error_code::protocol, "the server sent a malformed reply" + place};
+    case EVREQ_HTTP_DATA_TOO_LONG:
+      return {error_code::protocol, "the server's reply is too large" + place};
+    default:
+      return {error_code::unavailable, "the connection broke" + place};
+    }
+  }
+
+  void progressed() { progress_timer_.start_once(spec_.progress_timeout); }
+
+  // Ends the call's bookkeeping; the returned pointer keeps it alive for its last callback.
+  std::shared_ptr<call> release() {
+    progress_timer_.cancel();
+    total_timer_.cancel();
+    owner_->active.erase(this);
+    return std::move(self_);
+  }
+
+  void close_connection() {
+    if (request_ != nullptr) {
+      // The connection is freed with the request, after whatever callback is running.
+      evhttp_request_set_chunked_cb(request_, nullptr);
+    }
+    client_connection* conn = connection_;
+    connection_ = nullptr;
+    owner_->loop.post([conn, keep = shared_from_this()] { impl::free_connection(conn); });
+  }
+
+  void succeed(evhttp_request* raw) {
+    const auto keep = release();
+    evbuffer* buf = evhttp_request_get_input_buffer(raw);
+    if (!callbacks_.on_chunk) {
+      reply_.body.resize(evbuffer_get_length(buf));
+      evbuffer_remove(buf, reply_.body.data(), reply_.body.size());
+    }
+    // The connection is free for reuse only after evhttp has returned from this callback.
+    owner_->loop.post([owner = owner_, target = spec_.target, conn = connection_] {
+      owner->keep_connection(target, conn);
+    });
+    connection_ = nullptr;
+    if (callbacks_.on_reply) {
+      callbacks_.on_reply(std::move(reply_));
+    }
+  }
+
+  void fail(error cause) {
+    const auto keep = release();
+    http_failure failure{std::move(cause), connection_ == nullptr || connection_->bytes_sent == 0};
+    if (connection_ != nullptr) {
+      close_connection();
+    }
+    if (callbacks_.on_failure) {
+      callbacks_.on_failure(std::move(failure));
+    }
+  }
+
+  void fail_later(error cause) {
+    owner_->loop.post([keep = shared_from_this(), cause = std::move(cause)]() mutable {
+      if (keep->self_) {
+        keep->fail(std::move(cause));
+      }
+    });
+  }
+
+  void expire(const char* reason) {
+    if (self_) {
+      fail(error{error_code::timeout, reason + (" (" + to_string(spec_.target) + ')')});
+    }
+  }
+
+  std::shared_ptr<impl> owner_;
+  http_call_spec spec_;
+  http_callbacks callbacks_;
+  timer progress_timer_;
+  timer total_timer_;
+  client_connection* connection_ = nullptr;
+  evhttp_request* request_ = nullptr;
+  std::optional<evhttp_request_error> evhttp_error_;
+  http_reply reply_;
+  std::shared_ptr<call> self_;
+};
+
+http_client::http_client(event_loop& loop) : impl_(std::make_shared<impl>(loop)) {}
+
+http_client::~http_client() {
+  const std::unordered_set<impl::call*> calls = impl_->active;
+  for (impl::call* it : calls) {
+    it->cancel();
+  }
+  for (auto& [target, list] : impl_->idle) {
+    for (client_connection* it : list) {
+      impl::free_connection(it);
+    }
+  }
+  impl_->idle.clear();
+}
+
+std::shared_ptr<http_call> http_client::send(http_call_spec spec, http_callbacks callbacks) {
+  auto it = std::make_shared<impl::call>(impl_, std::move(spec), std::move(callbacks));
+  it->start();
+  return it;
+}
+
+void http_client::drop_idle(const address& target) {
+  const auto found = impl_->idle.find(target);
+  if (found == impl_->idle.end()) {
+    return;
+  }
+  for (client_connection* it : found->second) {
+    impl::free_connection(it);
+  }
+  impl_->idle.erase(found);
+}
+
+} // namespace boragedoor::net
--- /dev/null
+++ b/tests/support/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
