--- a/libs/net/event_loop.cpp
+++ b/libs/net/event_loop.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <deque>
+#include <map>
 #include <utility>
 
 #include <event2/event.h>
@@ -26,6 +27,8 @@
 struct event_loop::impl {
   event* wakeup = nullptr;
   std::deque<std::function<void()>> queue;
+  std::map<std::uint64_t, std::unique_ptr<timer>> delayed;
+  std::uint64_t next_delayed = 0;
 
   static void on_wakeup(evutil_socket_t /*fd*/, short /*what*/, void* self) {
     auto& state = *static_cast<impl*>(self);
@@ -54,6 +57,7 @@
 
 event_loop::~event_loop() {
   impl_->queue.clear();
+  impl_->delayed.clear();
   event_free(impl_->wakeup);
   event_base_free(base_);
 }
@@ -83,6 +87,17 @@
   event_active(impl_->wakeup, EV_TIMEOUT, 1);
 }
 
+void event_loop::post_after(duration delay, std::function<void()> fn) {
+  const auto key = impl_->next_delayed++;
+  auto wait = std::make_unique<timer>(*this, [this, key, fn = std::move(fn)] {
+    // The timer must not be destroyed inside its own callback.
+    post([this, key] { impl_->delayed.erase(key); });
+    fn();
+  });
+  wait->start_once(delay);
+  impl_->delayed.emplace(key, std::move(wait));
+}
+
 time_point event_loop::now() const {
   return monotonic_now();
 }
--- a/libs/net/event_loop.h
+++ b/libs/net/event_loop.h
@@ -34,7 +34,10 @@
   /// Calls `fn` from the loop, after the current callback. Calls keep their order.
   void post(std::function<void()> fn);
 
-  /// Present time, read once for each loop iteration.
+  /// Calls `fn` from the loop after `delay`. It cannot be cancelled; use `timer` for that.
+  void post_after(duration delay, std::function<void()> fn);
+
+  /// Present time of the monotonic clock.
   [[nodiscard]] time_point now() const;
 
   [[nodiscard]] event_base* native() const { return base_; }
