Add the headers of the control and replication libraries

Cause: the daemon is written against these interfaces at the same time. Change: headers only; the libraries join the build with their sources.

--- /dev/null
+++ b/libs/replication/message.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/result.h"
+#include "replication/configuration_replica.h"
+#include "replication/freshness_evidence.h"
+#include "replication/withdrawal_set.h"
+
+namespace boragedoor::replication {
+
+/// Sent to each neighbour every second.
+struct heartbeat {
+  std::uint64_t sequence = 0;
+  /// Sequence of the receiver's last heartbeat that the sender has received; 0 for none.
+  std::uint64_t echo = 0;
+  std::string boot_id;
+  std::uint64_t revision = 0;
+  std::uint64_t withdrawal_digest = 0;
+  /// Whether the sender has finished its bootstrap.
+  bool ready = false;
+  carried_ages ages;
+
+  friend bool operator==(const heartbeat&, const heartbeat&) = default;
+};
+/// Changes in ascending order.
+struct config_delta {
+  std::vector<configuration_delta> deltas;
+
+  friend bool operator==(const config_delta&, const config_delta&) = default;
+};
+/// Asks for what leads from `revision` to the present one.
+struct config_request {
+  std::uint64_t revision = 0;
+  /// Set when a delta did not fit.
+  bool snapshot = false;
+
+  friend bool operator==(const config_request&, const config_request&) = default;
+};
+struct config_snapshot {
+  configuration_version version;
+
+  friend bool operator==(const config_snapshot&, const config_snapshot&) = default;
+};
+struct withdrawals {
+  std::vector<withdrawal> entries;
+  /// The receiver is to confirm with `withdrawals_held`.
+  bool confirm = false;
+
+  friend bool operator==(const withdrawals&, const withdrawals&) = default;
+};
+/// Asks for the entries in buckets that differ.
+struct withdrawals_request {
+  withdrawal_buckets_digest buckets{};
+
+  friend bool operator==(const withdrawals_request&, const withdrawals_request&) = default;
+};
+struct withdrawals_held {
+  std::vector<std::string> key_ids;
+
+  friend bool operator==(const withdrawals_held&, const withdrawals_held&) = default;
+};
+
+using message = std::variant<heartbeat, config_delta, config_request, config_snapshot, withdrawals,
+                             withdrawals_request, withdrawals_held>;
+
+/// Limits of `decode`: larger messages are refused.
+constexpr std::size_t max_message_size = std::size_t{2} * 1024 * 1024;
+
+/// Converts to and from CBOR (an array: number of the alternative, then its fields).
+std::vector<std::uint8_t> encode(const message& it);
+/// Fails with `protocol` on anything that `encode` does not produce.
+result<message> decode(std::span<const std::uint8_t> bytes);
+
+} // namespace boragedoor::replication
