--- a/libs/control/lease_holder.h
+++ b/libs/control/lease_holder.h
@@ -96,6 +96,8 @@
     /// Outstanding request; answers with another id are late and are ignored.
     request_id request = 0;
     fencing_token token = 0;
+    /// Set while a create under the present store lease may still take effect.
+    bool create_unknown = false;
     time_point due;
     time_point not_preferred_since;
   };
@@ -121,7 +123,7 @@
   void finish_release(entry& it, time_point now, actions& out);
   void hand_over(time_point now, actions& out);
   [[nodiscard]] bool is_own(const lease_record& record) const;
-  [[nodiscard]] bool wants_lease() const;
+  [[nodiscard]] bool wants_lease(time_point now) const;
 
   lease_holder_options options_;
   std::map<std::string, shard_state, std::less<>> shards_;
--- a/libs/control/order_gate.h
+++ b/libs/control/order_gate.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
-#include <span>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -68,6 +69,9 @@
   std::string boot_id;
   /// Wait before an order without an answer is sent again.
   duration retry_interval = seconds(1);
+  /// Bytes of an attempt that ended without an answer may still arrive within this time. Until then
+  /// no different order is sent to the target and the shard does not count as settled.
+  duration in_flight = seconds(1);
 };
 
 /// Decides which orders of one shard may be sent. Outlives the leases of the shard in one process,
@@ -100,19 +104,25 @@
                                          time_point now);
   /// Starts no further order; open ones are still repeated until settled. For a hand-over.
   void stop() { stopping_ = true; }
-  /// The shard was acquired again under a new token.
-  void resume() { stopping_ = false; }
-
-  /// True if no order is open.
-  [[nodiscard]] bool is_settled() const;
+  /// The shard was acquired again under a new token. Desired states must be asked for again,
+  /// because another holder may have ordered something else in between; `restore` its last orders
+  /// first.
+  void resume();
+  /// The target was seen to differ from its last settled order, so that the same state may be
+  /// ordered again.
+  void forget_settled(std::string_view target);
+
+  /// True if no order is open and no bytes of one may still be on their way.
+  [[nodiscard]] bool is_settled(time_point now) const;
   /// The open orders, for `orders/{data_centre}` and for a new holder.
   [[nodiscard]] std::vector<order> open_orders() const;
 
 private:
   struct target_state {
     std::optional<order> open;
-    bool in_flight = false;
     time_point next_attempt;
+    /// When the bytes of all failed attempts have arrived.
+    time_point quiet_from;
     std::uint64_t last_sequence = 0;
     token_handling handling = token_handling::ignores;
     /// Newest desired state, and the last one settled.
@@ -126,14 +136,17 @@
 
   using actions = std::vector<order_action>;
 
-  void start(const std::string& target, target_state& it, time_point now);
-  void send(target_state& it, const order_permit& permit, time_point now, actions& out) const;
+  void advance(const std::string& target, target_state& it, const order_permit& permit,
+               time_point now, actions& out);
+  void start(const std::string& target, target_state& it) const;
   void answer_askers(actions& out);
-  target_state* find_open(std::string_view id);
-  [[nodiscard]] bool has_in_flight() const;
 
   order_gate_options options_;
   std::map<std::string, target_state, std::less<>> targets_;
+  /// Ids of attempts that may still have bytes on their way.
+  std::set<std::string, std::less<>> in_flight_;
+  /// The latest `quiet_from` of all targets.
+  time_point quiet_from_;
   /// Orders under lower tokens are never sent again.
   fencing_token fence_ = 0;
   std::vector<pending_answer> askers_;
--- a/libs/control/takeover.h
+++ b/libs/control/takeover.h
@@ -76,11 +76,13 @@
   duration ask_interval = seconds(1);
   /// Longest time by which the platform's list trails the truth.
   duration list_lag = seconds(10);
-  /// A store call without an answer for this long is repeated.
-  duration store_timeout = seconds(2);
+  /// Wait before a store call is repeated after one without an answer.
+  duration store_retry = seconds(1);
 };
 
-/// Clears the way for one holder, under one token, to order endpoints that ignore tokens.
+/// Clears the way for one holder, under one token, to order endpoints that ignore tokens. Every
+/// store action is answered exactly once, with "unknown" after a timeout; at most one is
+/// outstanding.
 class takeover {
 public:
   explicit takeover(takeover_options options) : options_(std::move(options)) {}
@@ -123,9 +125,11 @@
   void sync(time_point now, actions& out);
   void ask(time_point now, actions& out);
   void add_suspects();
+  void report(time_point now, actions& out);
   [[nodiscard]] std::vector<former_holder> desired(time_point now) const;
-  [[nodiscard]] bool is_stopped(const former_holder& holder, time_point now) const;
-  [[nodiscard]] bool is_registered() const;
+  [[nodiscard]] bool has_stopped(const suspect& it, time_point now) const;
+  [[nodiscard]] bool is_listed() const;
+  [[nodiscard]] bool is_superseded() const;
 
   takeover_options options_;
   std::vector<suspect> suspects_;
@@ -134,8 +138,9 @@
   std::uint64_t version_ = 0;
   std::vector<former_holder> writing_;
   call outstanding_ = call::none;
-  time_point call_deadline_;
-  /// Set once the key was seen to list this process, after which every former holder is known.
+  time_point next_call_;
+  /// Set once the key was seen to list this process. From then on every former holder is known,
+  /// because any other write must read that entry first.
   bool registered_ = false;
   bool leaving_ = false;
   bool reported_ = false;
