--- /dev/null
+++ b/libs/daemon/order_task.cpp
@@ -0,0 +1,194 @@
+#include "daemon/order_task.h"
+
+#include <utility>
+#include <variant>
+
+namespace boragedoor::daemon {
+
+namespace {
+
+constexpr duration tick_period = milliseconds(200);
+constexpr duration order_timeout = seconds(5);
+constexpr std::string_view shard_prefix = "dc/";
+
+bool is_data_centre_shard(std::string_view shard) {
+  return shard.starts_with(shard_prefix);
+}
+
+/// The desired state of an endpoint as the gate compares it.
+std::string desired_version(const std::string& model, std::uint64_t version) {
+  return to_text({{"kind", "load_version"}, {"model", model}, {"version", version}});
+}
+
+} // namespace
+
+order_task::order_task(const daemon_context& context, endpoint_task& endpoints, shard_task& shards,
+                       announcement_task& announcements)
+    : context_(context), endpoints_(endpoints), shards_(shards),
+      timer_(context.loop, [this] { tick(); }) {
+  announcements.learned().connect([this](const announcement& it) {
+    constexpr std::string_view prefix = "weights/";
+    if (it.name.starts_with(prefix)) {
+      versions_[it.name.substr(prefix.size())] = it.number;
+    }
+  });
+  shards_.acquired().connect([this](const held_shard& it) {
+    if (is_data_centre_shard(it.name)) {
+      auto& state = state_of(it.name);
+      state.held = true;
+      state.stopping = false;
+      state.gate.resume();
+    }
+  });
+  shards_.stopping().connect([this](const held_shard& it) {
+    if (is_data_centre_shard(it.name)) {
+      auto& state = state_of(it.name);
+      state.stopping = true;
+      state.gate.stop();
+    }
+  });
+  shards_.lost().connect([this](const held_shard& it) {
+    if (is_data_centre_shard(it.name)) {
+      state_of(it.name).held = false;
+    }
+  });
+  shards_.step_down_asked().connect(
+      [this](const step_down_request& request) { on_step_down(request); });
+}
+
+void order_task::start() {
+  timer_.start_periodic(tick_period);
+}
+
+order_task::data_centre_state& order_task::state_of(const std::string& shard) {
+  const auto found = data_centres_.find(shard);
+  if (found != data_centres_.end()) {
+    return found->second;
+  }
+  control::order_gate_options options;
+  options.shard = shard;
+  options.boot_id = context_.boot_id;
+  return data_centres_
+      .emplace(shard, data_centre_state{control::order_gate(std::move(options)), false, false, {}})
+      .first->second;
+}
+
+control::order_permit order_task::permit(const std::string& shard) const {
+  return {shards_.permit(shard), shards_.takeover_cleared(shard)};
+}
+
+void order_task::tick() {
+  for (auto& [shard, it] : data_centres_) {
+    if (it.held && !it.stopping) {
+      want_versions(shard, it);
+    }
+    run(shard, it.gate.tick(permit(shard), context_.now()));
+    if (it.held && it.stopping && it.gate.is_settled(context_.now())) {
+      it.held = false;
+      shards_.settled(shard);
+    }
+  }
+}
+
+void order_task::want_versions(const std::string& shard, data_centre_state& it) {
+  for (const auto& endpoint : endpoints_.endpoints(shard.substr(shard_prefix.size()))) {
+    const auto version = versions_.find(endpoint.model);
+    if (endpoint.kind != routing::endpoint_kind::engine || version == versions_.end() ||
+        endpoint.weight_version >= version->second ||
+        endpoint.state == routing::endpoint_state::draining) {
+      continue;
+    }
+    const auto handling = endpoint.fencing == routing::fencing_support::checks_tokens
+                              ? control::token_handling::checks
+                              : control::token_handling::ignores;
+    run(shard,
+        it.gate.request(endpoint.id, handling, desired_version(endpoint.model, version->second),
+                        permit(shard), context_.now()));
+  }
+}
+
+void order_task::run(const std::string& shard, const std::vector<control::order_action>& actions) {
+  for (const auto& action : actions) {
+    std::visit([this, &shard](const auto& it) { carry_out(shard, it); }, action);
+  }
+}
+
+void order_task::record(events::event_number number, const std::string& shard,
+                        const control::order& it, const std::string& reason) {
+  events::event entry;
+  entry.number = number;
+  entry.shard = shard;
+  entry.endpoint = it.target;
+  entry.details = {{"order", it.id}, {"desired", it.desired}};
+  if (!reason.empty()) {
+    entry.details["reason"] = reason;
+  }
+  context_.record(std::move(entry));
+}
+
+void order_task::carry_out(const std::string& shard, const control::send_order& it) {
+  net::address target;
+  for (const auto& endpoint : endpoints_.endpoints()) {
+    if (endpoint.id == it.what.target) {
+      target = net::parse_address(endpoint.address);
+    }
+  }
+  auto body = parse_json(it.what.desired);
+  // The clock is read again here: the process may have been paused since the gate decided.
+  if (target.port == 0 || !body || context_.now() >= it.not_after) {
+    context_.loop.post([this, shard, id = it.what.id] { finish(shard, id, false); });
+    return;
+  }
+  body.value()["order_id"] = it.what.id;
+  body.value()["fencing_token"] = it.token;
+  net::http_call_spec spec;
+  spec.target = target;
+  spec.method = "POST";
+  spec.path = "/admin/order";
+  spec.body = to_text(body.value());
+  spec.progress_timeout = order_timeout;
+  record(events::event_number::order_sent, shard, it.what);
+  net::http_callbacks callbacks;
+  callbacks.on_reply = [this, shard, what = it.what](const net::http_reply& reply) {
+    const bool refused = reply.status >= 400 && reply.status < 500;
+    record(reply.status == 200 ? events::event_number::order_confirmed
+                               : events::event_number::order_refused,
+           shard, what, "status " + std::to_string(reply.status));
+    finish(shard, what.id, reply.status == 200 || refused);
+  };
+  callbacks.on_failure = [this, shard, what = it.what](const net::http_failure& failure) {
+    record(events::event_number::order_refused, shard, what, failure.cause.message);
+    finish(shard, what.id, false);
+  };
+  context_.http.send(std::move(spec), std::move(callbacks));
+}
+
+void order_task::finish(const std::string& shard, const std::string& order, bool settled) {
+  auto& gate = state_of(shard).gate;
+  run(shard, settled ? gate.on_settled(order, permit(shard), context_.now())
+                     : gate.on_attempt_failed(order, context_.now()));
+}
+
+void order_task::on_step_down(const step_down_request& request) {
+  if (!is_data_centre_shard(request.shard)) {
+    return;
+  }
+  auto& state = state_of(request.shard);
+  // The gate answers at once when nothing is in flight; otherwise the asker asks again, and until
+  // then the answer is no.
+  bool stopped = false;
+  state.askers["asker"] = [&stopped](bool answer) { stopped = answer; };
+  run(request.shard, state.gate.on_step_down("asker", request.token, context_.now()));
+  state.askers.clear();
+  request.answer(stopped);
+}
+
+void order_task::carry_out(const std::string& shard, const control::answer_stepped_down& it) {
+  auto& askers = state_of(shard).askers;
+  const auto found = askers.find(it.asker);
+  if (found != askers.end()) {
+    found->second(true);
+  }
+}
+
+} // namespace boragedoor::daemon
--- a/libs/net/http_types.cpp
+++ b/libs/net/http_types.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <cstdlib>
+
+#include <event2/http.h>
 
 namespace boragedoor::net {
 
@@ -37,4 +40,25 @@
   return {};
 }
 
+std::string encode_component(std::string_view text) {
+  char* encoded = evhttp_uriencode(text.data(), static_cast<ev_ssize_t>(text.size()), 0);
+  std::string value(encoded);
+  std::free(encoded); // NOLINT(cppcoreguidelines-no-malloc): evhttp allocated it
+  return value;
+}
+
+std::string encode_path(std::string_view path) {
+  std::string encoded;
+  std::size_t from = 0;
+  while (from <= path.size()) {
+    const std::size_t slash = std::min(path.find('/', from), path.size());
+    encoded += encode_component(path.substr(from, slash - from));
+    if (slash < path.size()) {
+      encoded += '/';
+    }
+    from = slash + 1;
+  }
+  return encoded;
+}
+
 } // namespace boragedoor::net
--- a/libs/net/http_types.h
+++ b/libs/net/http_types.h
@@ -31,6 +31,12 @@
 /// Finds a header by its name without regard to case; returns an empty view when it is missing.
 std::string_view find_header(const headers& list, std::string_view name);
 
+/// Percent-encodes a query component or a path segment.
+std::string encode_component(std::string_view text);
+
+/// Percent-encodes a path; slashes stay as they are.
+std::string encode_path(std::string_view path);
+
 /// A request as the server received it.
 struct http_request {
   std::string method;
--- a/libs/replication/withdrawal_set.h
+++ b/libs/replication/withdrawal_set.h
@@ -50,6 +50,11 @@
   /// Another instance, or the store, is known to hold the entry.
   void on_held_by(std::string_view key_id, std::string_view instance);
   void on_stored(std::string_view key_id);
+  /// Other instances that are known to hold the entry.
+  [[nodiscard]] std::size_t holder_count(std::string_view key_id) const {
+    const auto it = entries_.find(key_id);
+    return it == entries_.end() ? 0 : it->second.holders.size();
+  }
   /// True when the withdrawal may be acknowledged. With no other instance only the store counts,
   /// because the memory of one process is not durable.
   [[nodiscard]] bool is_durable(std::string_view key_id, std::size_t other_instances) const;
--- a/libs/store/store_client.cpp
+++ b/libs/store/store_client.cpp
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include <event2/http.h>
-
 #include "base/json.h"
 
 namespace boragedoor::store {
@@ -27,28 +25,6 @@
 constexpr int status_too_many = 429;
 constexpr int status_not_found = 404;
 
-std::string encode(std::string_view text) {
-  char* encoded = evhttp_uriencode(text.data(), static_cast<ev_ssize_t>(text.size()), 0);
-  std::string value(encoded);
-  std::free(encoded); // NOLINT(cppcoreguidelines-no-malloc): evhttp allocated it
-  return value;
-}
-
-/// Encodes a key for a path: slashes stay as they are.
-std::string encode_key(std::string_view key) {
-  std::string path;
-  std::size_t from = 0;
-  while (from <= key.size()) {
-    const std::size_t slash = std::min(key.find('/', from), key.size());
-    path += encode(key.substr(from, slash - from));
-    if (slash < key.size()) {
-      path += '/';
-    }
-    from = slash + 1;
-  }
-  return path;
-}
-
 error unexpected(const net::http_reply& reply) {
   return {reply.status == status_too_many ? error_code::overloaded : error_code::unavailable,
           "the store answered with status " + std::to_string(reply.status)};
@@ -77,7 +53,8 @@
   return all;
 }
 
-write_result write_result_from(const result<net::http_reply>& reply, bool nothing_sent) {
+write_result write_result_from(const result<net::http_reply>& reply, bool nothing_sent,
+                               write_outcome when_not_found) {
   if (!reply) {
     return {nothing_sent ? write_outcome::not_executed : write_outcome::unknown, 0};
   }
@@ -89,7 +66,7 @@
   case status_conflict:
     return {write_outcome::conflict, version};
   case status_not_found:
-    return {write_outcome::conflict, 0};
+    return {when_not_found, 0};
   case status_too_many:
     return {write_outcome::not_executed, 0};
   default:
@@ -135,7 +112,7 @@
 }
 
 void store_client::get(std::string key, std::function<void(result<std::optional<entry>>)> done) {
-  call("get", "GET", "/kv/" + encode_key(key), "", call_timeout,
+  call("get", "GET", "/kv/" + net::encode_path(key), "", call_timeout,
        [done = std::move(done)](const result<net::http_reply>& reply, bool /*nothing_sent*/) {
          if (!reply) {
            done(reply.error());
@@ -152,7 +129,7 @@
 }
 
 void store_client::list(std::string prefix, std::function<void(result<listing>)> done) {
-  call("list", "GET", "/kv?prefix=" + encode(prefix), "", call_timeout,
+  call("list", "GET", "/kv?prefix=" + net::encode_component(prefix), "", call_timeout,
        [done = std::move(done)](const result<net::http_reply>& reply, bool /*nothing_sent*/) {
          if (!reply) {
            done(reply.error());
@@ -168,7 +145,7 @@
                          std::function<void(result<listing>)> done) {
   const auto wait_ms = std::chrono::duration_cast<milliseconds>(wait).count();
   call("watch", "GET",
-       "/watch?prefix=" + encode(prefix) + "&after=" + std::to_string(after) +
+       "/watch?prefix=" + net::encode_component(prefix) + "&after=" + std::to_string(after) +
            "&timeout_ms=" + std::to_string(wait_ms),
        "", wait + watch_margin,
        [done = std::move(done)](const result<net::http_reply>& reply, bool /*nothing_sent*/) {
@@ -192,9 +169,9 @@
   if (!request.lease.empty()) {
     body["lease"] = request.lease;
   }
-  call("put", "PUT", "/kv/" + encode_key(request.key), to_text(body), call_timeout,
+  call("put", "PUT", "/kv/" + net::encode_path(request.key), to_text(body), call_timeout,
        [done = std::move(done)](const result<net::http_reply>& reply, bool nothing_sent) {
-         done(write_result_from(reply, nothing_sent));
+         done(write_result_from(reply, nothing_sent, write_outcome::lease_missing));
        });
 }
 
@@ -238,13 +215,13 @@
 
 void store_client::remove(std::string key, std::optional<std::uint64_t> expect_version,
                           std::function<void(write_result)> done) {
-  std::string path = "/kv/" + encode_key(key);
+  std::string path = "/kv/" + net::encode_path(key);
   if (expect_version) {
     path += "?expect_version=" + std::to_string(*expect_version);
   }
   call("delete", "DELETE", std::move(path), "", call_timeout,
        [done = std::move(done)](const result<net::http_reply>& reply, bool nothing_sent) {
-         done(write_result_from(reply, nothing_sent));
+         done(write_result_from(reply, nothing_sent, write_outcome::conflict));
        });
 }
 
@@ -284,14 +261,14 @@
 } // namespace
 
 void store_client::renew_lease(const std::string& lease, std::function<void(result<void>)> done) {
-  call("lease_renew", "POST", "/lease/" + encode(lease) + "/renew", "", call_timeout,
+  call("lease_renew", "POST", "/lease/" + net::encode_component(lease) + "/renew", "", call_timeout,
        [done = std::move(done)](const result<net::http_reply>& reply, bool /*nothing_sent*/) {
          done(lease_result(reply));
        });
 }
 
 void store_client::drop_lease(const std::string& lease, std::function<void(result<void>)> done) {
-  call("lease_drop", "DELETE", "/lease/" + encode(lease), "", call_timeout,
+  call("lease_drop", "DELETE", "/lease/" + net::encode_component(lease), "", call_timeout,
        [done = std::move(done)](const result<net::http_reply>& reply, bool /*nothing_sent*/) {
          done(lease_result(reply));
        });
--- a/libs/store/store_client.h
+++ b/libs/store/store_client.h
@@ -34,8 +34,9 @@
   std::vector<entry> entries;
 };
 
-/// How a write ended. `unknown` means that it may or may not have taken effect.
-enum class write_outcome { ok, conflict, unknown, not_executed };
+/// How a write ended. `unknown` means that it may or may not have taken effect; `lease_missing`,
+/// that the lease to attach the key to does not exist.
+enum class write_outcome { ok, conflict, lease_missing, unknown, not_executed };
 
 struct write_result {
   write_outcome outcome = write_outcome::unknown;
