--- a/libs/replication/configuration_replica.h
+++ b/libs/replication/configuration_replica.h
@@ -61,6 +61,8 @@
 public:
   /// Deltas kept for peers that are behind.
   static constexpr std::size_t delta_history = 32;
+  /// Bytes of inserted text in kept deltas, so that large changes do not fill the memory.
+  static constexpr std::size_t delta_history_bytes = std::size_t{1} << 20U;
   /// Peers that must answer during bootstrap when the store does not (all, if fewer).
   static constexpr std::size_t bootstrap_peers = 3;
   static constexpr std::size_t bootstrap_data_centres = 2;
@@ -86,12 +88,13 @@
   bool is_ready(std::string_view self, std::span<const member> members);
 
 private:
-  void adopt(configuration_version next, std::optional<configuration_delta> delta);
+  void adopt(configuration_version next, configuration_delta delta);
   [[nodiscard]] bool has_enough_peers(std::string_view self, std::span<const member> members) const;
 
   configuration_version current_;
   std::uint64_t hash_ = document_hash({});
   std::deque<configuration_delta> history_;
+  std::size_t history_bytes_ = 0;
   std::optional<std::uint64_t> store_revision_;
   std::map<std::string, bootstrap_answer, std::less<>> answers_;
   bool ready_ = false;
--- a/libs/replication/message.h
+++ b/libs/replication/message.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
-#include <span>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -72,8 +73,8 @@
 constexpr std::size_t max_message_size = std::size_t{2} * 1024 * 1024;
 
 /// Converts to and from CBOR (an array: number of the alternative, then its fields).
-std::vector<std::uint8_t> encode(const message& it);
+std::string encode(const message& it);
 /// Fails with `protocol` on anything that `encode` does not produce.
-result<message> decode(std::span<const std::uint8_t> bytes);
+result<message> decode(std::string_view bytes);
 
 } // namespace boragedoor::replication
--- a/libs/replication/spread.h
+++ b/libs/replication/spread.h
@@ -53,6 +53,12 @@
 class spread {
 public:
   explicit spread(spread_options options);
+  // The withdrawal set asks the present document of this object.
+  spread(const spread&) = delete;
+  spread& operator=(const spread&) = delete;
+  spread(spread&&) = delete;
+  spread& operator=(spread&&) = delete;
+  ~spread() = default;
 
   /// Takes over the platform's list and computes the neighbours.
   void on_list(std::span<const member> members);
@@ -86,6 +92,8 @@
     std::uint64_t revision = 0;
     time_point sent_at;
     time_point withdrawals_asked_at;
+    time_point heard_at;
+    bool is_neighbour = false;
   };
   using actions = std::vector<spread_action>;
 
