--- a/libs/base/cas_write.h
+++ b/libs/base/cas_write.h
@@ -59,7 +59,8 @@
 public:
   enum class state { busy, written, refused };
 
-  cas_write(std::string key, std::string value, std::uint64_t expect_version, backoff delay = backoff());
+  cas_write(std::string key, std::string value, std::uint64_t expect_version,
+            backoff delay = backoff());
 
   /// Issues the first call. Later calls come from the functions below.
   store_call start(store_caller& caller);
--- a/libs/ledger/batch_builder.h
+++ b/libs/ledger/batch_builder.h
@@ -17,8 +17,8 @@
   std::vector<std::string> groups;
   std::string samples;
   std::uint32_t count = 0;
-  /// Least weight version of any sample; 0 if no sample ran.
-  std::uint64_t least_version = 0;
+  /// Least weight version of any sample; `no_version` if none ran.
+  std::uint64_t least_version = no_version;
 };
 
 /// The exact bytes of batch `n`. They are ASCII, so that they can be split anywhere.
@@ -34,9 +34,9 @@
   void add(time_point now, const finished_group& group);
   /// Removes groups whose least version satisfies `stale`, and returns their ids.
   std::vector<std::string> remove_if(const std::function<bool(std::uint64_t)>& stale);
-  /// The next batch, if enough groups are finished, the oldest has waited for long enough, or
-  /// `flush` says that none will follow.
-  std::optional<batch_body> cut(time_point now, bool flush);
+  /// The next batch, if enough groups are finished, `flush` says that none will follow, or the
+  /// oldest has waited for long enough and `small` batches may be cut for that reason.
+  std::optional<batch_body> cut(time_point now, bool flush, bool small);
 
   [[nodiscard]] bool empty() const { return groups_.empty(); }
   /// When the oldest group has waited for long enough.
@@ -47,7 +47,7 @@
     std::string id;
     std::string samples;
     std::uint32_t count = 0;
-    std::uint64_t least_version = 0;
+    std::uint64_t least_version = no_version;
     time_point finished_at{};
   };
 
--- a/libs/ledger/batch_contents.h
+++ b/libs/ledger/batch_contents.h
@@ -30,9 +30,6 @@
   [[nodiscard]] write_state writing() const { return write_state_; }
   /// Forgets the write; its content stays in memory if it was stored.
   void end_write();
-  /// Whether an outcome of the write was read back.
-  [[nodiscard]] bool read_back() const { return write_ && write_->read_back(); }
-
   /// The content, if it is in memory.
   [[nodiscard]] const std::string* find(std::uint64_t n) const;
   /// Reads a content into memory, unless a read is running.
@@ -71,6 +68,9 @@
   store_call write_part(store_caller& caller);
   std::optional<store_call> after_write(store_caller& caller);
   void finish_deletion(time_point now, const store_write_result& result);
+  std::optional<store_call> finish_reading(time_point now, const store_read_result& result,
+                                           store_caller& caller);
+  std::vector<store_call> repeat_deletions(time_point now, store_caller& caller);
 
   std::string trainer_;
   std::uint64_t step_;
--- a/libs/ledger/step_ledger.h
+++ b/libs/ledger/step_ledger.h
@@ -71,8 +71,8 @@
   std::uint64_t n = 0;
 };
 
-/// Another holder has taken over, or the record is damaged: drop this ledger. Nothing else comes
-/// from it any more.
+/// Another holder has taken over, or the record is damaged: drop this ledger. It answers what is
+/// waiting with the reason and does nothing else any more.
 struct step_stopped {
   error reason;
 };
@@ -87,6 +87,9 @@
   /// Longest wait of a finished group for others to share its batch. 30 s keep a step of 24
   /// minutes under 50 batches, which keeps 7 trainers under one store write per second.
   duration batch_linger = seconds(30);
+  /// Batches after which only full ones are cut, and the last: half of what the record has room
+  /// for.
+  std::size_t max_small_batches = 128;
   /// Samples of this step that run at a time.
   std::uint32_t max_running = 512;
   /// Delay before a failed sample or a store call with an unknown outcome is tried again; doubles
@@ -118,8 +121,11 @@
   actions fail_sample(time_point now, const sample_attempt& attempt);
 
   /// The trainer asks for the batch after `after` and thereby acknowledges all up to it. Answered
-  /// at the latest at the first `tick` at or after `deadline`.
-  actions poll(time_point now, std::uint64_t request, std::uint64_t after, time_point deadline);
+  /// at the latest at the first `tick` at or after `deadline`. `version` is the trainer's own
+  /// version if it sent one with the poll; a holder that was paused or is new may not have heard it
+  /// otherwise.
+  actions poll(time_point now, std::uint64_t request, std::uint64_t after, time_point deadline,
+               std::uint64_t version = 0);
   /// The trainer's connection ended; its poll needs no answer.
   void cancel_poll(std::uint64_t request);
   actions acknowledge(time_point now, std::uint64_t request, std::uint64_t n);
@@ -189,6 +195,7 @@
   void start_samples(time_point now, actions& out);
   void advance_batch(time_point now, actions& out);
   void write_batch(actions& out);
+  [[nodiscard]] bool may_cut_small() const;
   void erase_content(actions& out, std::uint64_t n, std::uint32_t parts);
   void erase_leftovers(actions& out);
 
@@ -205,6 +212,7 @@
   std::uint64_t trainer_version_;
   ledger_options options_;
   phase phase_ = phase::idle;
+  error stop_reason_;
   store_caller caller_;
 
   step_record record_;
--- a/libs/ledger/step_record.h
+++ b/libs/ledger/step_record.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,6 +14,9 @@
 /// the holder allocate without bound.
 inline constexpr std::uint32_t max_samples_per_step = 32'768;
 
+/// Larger than any weight version, which JSON carries as a signed number.
+inline constexpr std::uint64_t no_version = std::numeric_limits<std::int64_t>::max();
+
 /// A prompt that `size` samples are drawn from. Samples are named "{group}/{index}".
 struct group_spec {
   std::string id;
@@ -49,7 +53,8 @@
 enum class batch_state { listed, delivered, acknowledged, voided };
 std::string_view to_string(batch_state state);
 
-/// One committed batch. Numbers rise and are never used again.
+/// One committed batch. Numbers rise and are never used again. A voided batch leaves the list when
+/// its contents are deleted.
 struct batch_entry {
   std::uint64_t n = 0;
   /// SHA-256 of the whole content.
@@ -59,8 +64,8 @@
   /// Values that the content is split over; above 1 only for a single group larger than one value.
   std::uint32_t parts = 1;
   std::vector<std::string> groups;
-  /// Least weight version of any sample; 0 if no sample ran.
-  std::uint64_t least_version = 0;
+  /// Least weight version of any sample; `no_version` if none ran.
+  std::uint64_t least_version = no_version;
   batch_state state = batch_state::listed;
   /// The trainer's version when the batch was marked delivered.
   std::uint64_t delivered_version = 0;
