--- a/libs/admission/admission_controller.cpp
+++ b/libs/admission/admission_controller.cpp
@@ -126,9 +126,7 @@
   std::optional<queued_request> next;
   if (for_rollout) {
     next = queue_.pop(shares_, now);
-  } else if (for_any) {
-    next = queue_.pop(request_class::interactive, shares_, now);
-  } else if (queue_.size(request_class::interactive) > 0 && pause_one(now, out)) {
+  } else if (for_any || (queue_.size(request_class::interactive) > 0 && pause_one(now, out))) {
     next = queue_.pop(request_class::interactive, shares_, now);
   }
   if (!next) {
--- a/libs/admission/admission_controller.h
+++ b/libs/admission/admission_controller.h
@@ -20,11 +20,11 @@
 /// A request as its caller states it.
 struct admission_request {
   std::uint64_t id = 0;
-  std::string_view workspace;
+  std::string_view workspace{};
   request_class kind = request_class::rollout;
   int stated_tokens = 0;
   int stated_priority = 0;
-  time_point deadline;
+  time_point deadline{};
   /// Whether the stream may be paused and resumed elsewhere with the text so far.
   bool can_pause = true;
 };
@@ -55,10 +55,10 @@
 };
 
 struct admission_options {
-  length_options length;
-  fair_share_options share;
-  priority_options priority;
-  queue_options queue;
+  length_options length{};
+  fair_share_options share{};
+  priority_options priority{};
+  queue_options queue{};
   /// Share of the places that rollouts leave free for interactive requests.
   double interactive_reserve = 0.1;
   /// Pauses of one rollout; after them it runs to its end.
--- a/libs/admission/admission_queue.cpp
+++ b/libs/admission/admission_queue.cpp
@@ -13,6 +13,12 @@
          std::tuple(-right.priority, -right.pauses, right.queued);
 }
 
+std::deque<queued_request>::iterator oldest_of(std::deque<queued_request>& line) {
+  return std::min_element(line.begin(), line.end(), [](const auto& left, const auto& right) {
+    return left.queued < right.queued;
+  });
+}
+
 double tokens_of(const std::deque<queued_request>& line) {
   double sum = 0;
   for (const queued_request& it : line) {
@@ -24,11 +30,11 @@
 } // namespace
 
 result<admission_queue> admission_queue::create(const queue_options& options) {
-  if (options.capacity == 0 || options.rollout_turn < 1 || options.workspace_share <= 0 ||
-      options.workspace_share > 1) {
-    return error{error_code::invalid_argument,
-                 "admission queue: capacity and rollout_turn must be positive and workspace_share "
-                 "above 0 and at most 1"};
+  if (options.capacity == 0 || options.rollout_turn < 1 || options.aged_turn < 1 ||
+      options.workspace_share <= 0 || options.workspace_share > 1) {
+    return error{error_code::invalid_argument, "admission queue: capacity, rollout_turn and "
+                                               "aged_turn must be positive and workspace_share "
+                                               "above 0 and at most 1"};
   }
   return admission_queue(options);
 }
@@ -103,27 +109,42 @@
     return std::nullopt;
   }
   since_rollout_ = kind == request_class::rollout || rollouts_.empty() ? 0 : since_rollout_ + 1;
-  return take(of(kind), shares, now);
-}
-
-queued_request admission_queue::take(lines& from, const fair_share& shares, time_point now) {
+  return take(kind, shares, now);
+}
+
+admission_queue::lines::iterator
+admission_queue::choose_line(request_class kind, const fair_share& shares, time_point now) {
+  lines& from = of(kind);
+  int& since_aged = since_aged_.at(kind == request_class::interactive ? 0 : 1);
+  since_aged += 1;
+  if (since_aged >= options_.aged_turn) {
+    const auto oldest = std::min_element(from.begin(), from.end(), [](auto& left, auto& right) {
+      return oldest_of(left.second)->queued < oldest_of(right.second)->queued;
+    });
+    if (now - oldest_of(oldest->second)->queued >= options_.longest_wait) {
+      since_aged = 0;
+      return oldest;
+    }
+  }
   std::vector<std::string_view> workspaces;
+  workspaces.reserve(from.size());
   for (const auto& [workspace, waiting] : from) {
     workspaces.push_back(workspace);
   }
-  const auto chosen = from.find(shares.worst_served(workspaces, now));
+  return from.find(shares.worst_served(workspaces, now));
+}
+
+queued_request admission_queue::take(request_class kind, const fair_share& shares, time_point now) {
+  const auto chosen = choose_line(kind, shares, now);
   line& waiting = chosen->second;
-  auto next =
-      std::min_element(waiting.begin(), waiting.end(), [](const auto& left, const auto& right) {
-        return left.queued < right.queued;
-      });
+  auto next = oldest_of(waiting);
   if (now - next->queued < options_.longest_wait) {
     next = waiting.begin();
   }
   queued_request out = std::move(*next);
   waiting.erase(next);
   if (waiting.empty()) {
-    from.erase(chosen);
+    of(kind).erase(chosen);
   }
   size_ -= 1;
   return out;
--- a/libs/admission/admission_queue.h
+++ b/libs/admission/admission_queue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -40,8 +41,11 @@
   /// While both wait, at least one in this many places goes to a rollout.
   int rollout_turn = 8;
   /// A request that waited this long goes before the others of its workspace and class, whatever
-  /// their priority.
-  duration longest_wait = seconds(30);
+  /// their priority. Every `aged_turn`th place of a class goes to the longest waiting of those,
+  /// whatever its workspace was served: else a workspace that uses much interactive service might
+  /// never get a rollout through.
+  duration longest_wait = seconds(120);
+  int aged_turn = 8;
 };
 
 /// Bounded queue of requests: interactive before rollouts, the worst-served workspace first, then
@@ -77,7 +81,8 @@
   lines& of(request_class kind);
   [[nodiscard]] std::size_t workspace_size(std::string_view workspace) const;
   [[nodiscard]] request_class next_class() const;
-  queued_request take(lines& from, const fair_share& shares, time_point now);
+  queued_request take(request_class kind, const fair_share& shares, time_point now);
+  lines::iterator choose_line(request_class kind, const fair_share& shares, time_point now);
   void expire(lines& from, time_point now, std::vector<queued_request>& out);
 
   queue_options options_;
@@ -87,6 +92,8 @@
   /// No waiting request has an earlier deadline, so that `expire` mostly has nothing to look at.
   time_point earliest_deadline_ = time_point::max();
   int since_rollout_ = 0;
+  /// Places of each class since the last one that went by age alone.
+  std::array<int, 2> since_aged_{};
 };
 
 } // namespace boragedoor::admission
--- a/libs/routing/router.cpp
+++ b/libs/routing/router.cpp
@@ -111,6 +111,7 @@
     bool other_region = false;
   };
   std::vector<ranked> list;
+  list.reserve(table.size());
   const std::uint64_t seed = hash64(instance);
   table.for_each([&](const endpoint& it) {
     if (it.state != endpoint_state::draining && (pool.empty() || it.pool == pool)) {
@@ -119,6 +120,7 @@
   });
   keep_subset(list, n);
   std::vector<std::string> out;
+  out.reserve(list.size());
   for (const ranked& it : list) {
     out.push_back(it.where->id);
   }
@@ -163,24 +165,26 @@
 }
 
 router::candidates router::subset(const context& in) const {
-  candidates list;
-  bool any_healthy = false;
+  candidates all;
+  all.reserve(in.table.size());
   in.table.for_each([&](const endpoint& it) {
-    if (meets_needs(it, in.request)) {
-      list.push_back({&it, in.health.state(it.id), in.table.outstanding(it.id),
-                      hash64(it.id, subset_seed_), it.region != options_.region});
-      any_healthy = any_healthy || list.back().health == health_state::healthy;
+    if (it.state != endpoint_state::draining &&
+        (in.request.pool.empty() || it.pool == in.request.pool)) {
+      all.push_back({&it, in.health.state(it.id), in.table.outstanding(it.id),
+                     hash64(it.id, subset_seed_), it.region != options_.region});
     }
   });
-  if (any_healthy && list.size() > options_.subset_size) {
-    // Set-aside endpoints take no places in the subset, so that it never has only those.
-    std::erase_if(list, [](const candidate& it) { return it.health == health_state::set_aside; });
-    candidates on_probation;
-    std::copy_if(list.begin(), list.end(), std::back_inserter(on_probation),
-                 [](const candidate& it) { return it.health == health_state::probation; });
-    std::erase_if(list, [](const candidate& it) { return it.health == health_state::probation; });
-    keep_subset(list, options_.subset_size);
-    list.insert(list.end(), on_probation.begin(), on_probation.end());
+  const auto unfit = [&](const candidate& it) { return !meets_needs(*it.where, in.request); };
+  candidates list = all;
+  keep_subset(list, options_.subset_size);
+  std::erase_if(list, unfit);
+  const bool any_healthy = std::any_of(list.begin(), list.end(), [](const candidate& it) {
+    return it.health == health_state::healthy;
+  });
+  if (!any_healthy) {
+    // Without a load report the others are the worse known, but better than an unhealthy one.
+    std::erase_if(all, unfit);
+    return all;
   }
   return list;
 }
@@ -229,18 +233,30 @@
   return list;
 }
 
-route_choice router::pick(const candidates& list, const context& in, random_engine& random) const {
-  const auto draw = [&]() -> const candidate& {
-    return list[std::uniform_int_distribution<std::size_t>(0, list.size() - 1)(random)];
+std::size_t router::sort_nearest(candidates& list) const {
+  double nearest = round_trip_seconds(*list.front().where);
+  for (const candidate& it : list) {
+    nearest = std::min(nearest, round_trip_seconds(*it.where));
+  }
+  const auto end = std::stable_partition(list.begin(), list.end(), [&](const candidate& it) {
+    return round_trip_seconds(*it.where) <= nearest;
+  });
+  return static_cast<std::size_t>(end - list.begin());
+}
+
+route_choice router::pick(candidates list, const context& in, random_engine& random) const {
+  // One choice among the nearest, one among all: the round trip decides only between equal loads.
+  const auto draw = [&](std::size_t n) -> const candidate& {
+    return list[std::uniform_int_distribution<std::size_t>(0, n - 1)(random)];
   };
-  route_choice best = price(draw(), in);
+  route_choice best = price(draw(sort_nearest(list)), in);
   const auto consider = [&](const candidate& it) {
     route_choice other = price(it, in);
     if (other.cost < best.cost) {
       best = std::move(other);
     }
   };
-  consider(draw());
+  consider(draw(list.size()));
   const candidate* holder = nullptr;
   double held = 0;
   for (const candidate& it : list) {
--- a/libs/routing/router.h
+++ b/libs/routing/router.h
@@ -20,28 +20,28 @@
 
 /// A KV cache that an earlier attempt or a paused stream left on an endpoint.
 struct kv_location {
-  std::string endpoint;
+  std::string endpoint{};
   int tokens = 0;
 };
 
 /// What a request needs from its endpoint. Empty fields ask for nothing.
 struct route_request {
-  std::string_view pool;
-  std::string_view model;
-  std::string_view adapter;
+  std::string_view pool{};
+  std::string_view model{};
+  std::string_view adapter{};
   route_class priority = route_class::rollout;
   std::uint64_t minimum_version = 0;
   /// Some samples must come from exactly one version.
-  std::optional<std::uint64_t> exact_version;
+  std::optional<std::uint64_t> exact_version{};
   bool idempotent = true;
   /// Whether the loss of a cheaper endpoint at a few seconds' notice does no harm.
   bool cheap_allowed = true;
   int prompt_tokens = 0;
   int expected_tokens = 0;
-  std::span<const prefix_hash> prefix;
-  std::optional<kv_location> kv;
+  std::span<const prefix_hash> prefix{};
+  std::optional<kv_location> kv{};
   /// Endpoints that already failed this request or that run a fellow crash suspect.
-  std::span<const std::string> excluded;
+  std::span<const std::string> excluded{};
 };
 
 /// An export of the KV cache from one endpoint and its import at the chosen one.
@@ -62,9 +62,9 @@
 };
 
 struct router_options {
-  std::string instance;
-  std::string data_centre;
-  std::string region;
+  std::string instance{};
+  std::string data_centre{};
+  std::string region{};
   /// Endpoints of a pool that this instance uses; the other instances use other subsets.
   std::size_t subset_size = 16;
   /// No choice may raise an endpoint's share of its running slots above this many times the mean
@@ -112,8 +112,9 @@
                                        random_engine& random) const;
   [[nodiscard]] candidates best_tier(candidates list, const context& in) const;
   [[nodiscard]] candidates within_bound(candidates list) const;
-  [[nodiscard]] route_choice pick(const candidates& list, const context& in,
-                                  random_engine& random) const;
+  /// Moves the nearest candidates to the front and returns how many they are.
+  std::size_t sort_nearest(candidates& list) const;
+  [[nodiscard]] route_choice pick(candidates list, const context& in, random_engine& random) const;
   [[nodiscard]] route_choice price(const candidate& it, const context& in) const;
   [[nodiscard]] double prefill_seconds(const candidate& it, const context& in,
                                        route_choice& out) const;
--- /dev/null
+++ b/tests/routing/router_test.cpp
@@ -0,0 +1,245 @@
+#include "routing/router.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "routing/naive_router.h"
+#include "support/property.h"
+
+namespace boragedoor::routing {
+
+namespace {
+
+struct fixture {
+  endpoint_table table;
+  endpoint_health health = endpoint_health::create({}).value();
+  prefix_cache_hints hints = prefix_cache_hints::create({}).value();
+  random_engine random{7};
+  time_point now{seconds(1000)};
+  router_options options{.instance = "i1", .data_centre = "a", .region = "r"};
+
+  endpoint& add(endpoint it) {
+    health.add(it.id, it.data_centre, it.pool);
+    REQUIRE(table.put(it));
+    added.push_back(std::move(it));
+    return added.back();
+  }
+  void add_some(int n, std::string_view data_centre = "a") {
+    for (int i = 0; i < n; ++i) {
+      endpoint it;
+      it.id = std::string(data_centre) + std::to_string(i);
+      it.data_centre = data_centre;
+      it.region = "r";
+      it.pool = "p";
+      it.max_running = 8;
+      add(it);
+    }
+  }
+  result<route_choice> choose(const route_request& request) {
+    return router::create(options).value().choose(request, table, health, hints, now, random);
+  }
+  void fail(std::string_view id) {
+    health.record(id, evidence::wrong_answer, now);
+    health.update(now);
+  }
+  std::vector<endpoint> added;
+};
+
+} // namespace
+
+TEST_CASE("the router") {
+  fixture it;
+  it.add_some(4);
+  route_request request{.pool = "p", .prompt_tokens = 1000, .expected_tokens = 100};
+
+  SECTION("prefers its own data centre, and leaves it when that one is loaded") {
+    it.add_some(4, "b");
+    CHECK(it.choose(request).value().endpoint[0] == 'a');
+    for (const char* id : {"a0", "a1", "a2", "a3"}) {
+      it.table.report(id, {it.now, 8, 4});
+    }
+    CHECK(it.choose(request).value().endpoint[0] == 'b');
+  }
+  SECTION("goes back to the endpoint that has the prompt cached") {
+    const std::vector<prefix_hash> prefix{1, 2, 3};
+    request.prefix = prefix;
+    it.hints.note_dispatch("a2", prefix, it.now);
+    for (int i = 0; i < 20; ++i) {
+      CHECK(it.choose(request).value().endpoint == "a2");
+    }
+    SECTION("but not beyond the bound on imbalance") {
+      it.table.report("a2", {it.now, 4, 0});
+      CHECK(it.choose(request).value().endpoint != "a2");
+    }
+  }
+  SECTION("moves a KV cache where that costs less than recomputing it") {
+    request.kv = kv_location{"a1", 1000};
+    CHECK(it.choose(request).value().endpoint == "a1");
+    it.table.set_state("a1", endpoint_state::draining);
+    request.prompt_tokens = 2000;
+    request.kv->tokens = 2000;
+    const auto moved = it.choose(request).value();
+    REQUIRE(moved.move);
+    CHECK(moved.move->from == "a1");
+    SECTION("and recomputes a short one") {
+      request.prompt_tokens = 100;
+      request.kv->tokens = 100;
+      CHECK_FALSE(it.choose(request).value().move);
+    }
+    SECTION("and recomputes when its holder is gone") {
+      it.table.remove("a1");
+      CHECK_FALSE(it.choose(request).value().move);
+    }
+  }
+  SECTION("uses a set-aside endpoint only when nothing else is left") {
+    it.fail("a0");
+    for (int i = 0; i < 50; ++i) {
+      CHECK(it.choose(request).value().endpoint != "a0");
+    }
+    for (const char* id : {"a1", "a2", "a3"}) {
+      it.table.set_state(id, endpoint_state::draining);
+    }
+    const auto last = it.choose(request).value();
+    CHECK(last.endpoint == "a0");
+    CHECK(last.probe);
+  }
+  SECTION("probes an endpoint on probation with some idempotent rollouts only") {
+    it.fail("a0");
+    it.health.update(it.now + seconds(6));
+    const auto probes = [&] {
+      int n = 0;
+      for (int i = 0; i < 300; ++i) {
+        n += it.choose(request).value().endpoint == "a0" ? 1 : 0;
+      }
+      return n;
+    };
+    CHECK(probes() > 5);
+    SECTION("one at a time") {
+      it.table.note_dispatch("a0", it.now);
+      CHECK(probes() == 0);
+    }
+    SECTION("not with interactive or non-idempotent ones") {
+      request.priority = route_class::interactive;
+      CHECK(probes() == 0);
+      request.priority = route_class::rollout;
+      request.idempotent = false;
+      CHECK(probes() == 0);
+    }
+  }
+  SECTION("keeps work that loss would harm off cheaper endpoints while others are left") {
+    endpoint cheap = it.added[0];
+    cheap.id = "cheap";
+    cheap.tier = endpoint_tier::cheap;
+    it.add(cheap);
+    request.cheap_allowed = false;
+    for (int i = 0; i < 50; ++i) {
+      CHECK(it.choose(request).value().endpoint != "cheap");
+    }
+    for (const char* id : {"a0", "a1", "a2", "a3"}) {
+      it.table.remove(id);
+    }
+    CHECK(it.choose(request).value().endpoint == "cheap");
+  }
+  SECTION("says what is missing") {
+    request.minimum_version = 3;
+    const auto none = it.choose(request);
+    REQUIRE_FALSE(none);
+    CHECK(none.error().code == error_code::unavailable);
+    CHECK(none.error().message.find("0 with the weight version") != std::string::npos);
+  }
+}
+
+TEST_CASE("router invariants against the naive router") {
+  testing::check_property("both find an endpoint or neither, and it meets the needs", [] {
+    fixture it;
+    const int n = *rc::gen::inRange(1, 30);
+    for (int i = 0; i < n; ++i) {
+      endpoint one;
+      one.id = "e" + std::to_string(i);
+      one.data_centre = std::string(1, static_cast<char>('a' + *rc::gen::inRange(0, 3)));
+      one.region = *rc::gen::inRange(0, 4) == 0 ? "far" : "r";
+      one.pool = "p";
+      one.max_running = *rc::gen::inRange(1, 9);
+      one.state = *rc::gen::element(endpoint_state::ready, endpoint_state::ready,
+                                    endpoint_state::draining, endpoint_state::starting);
+      one.weight_version = *rc::gen::inRange<std::uint64_t>(1, 4);
+      it.add(one);
+      it.table.report(one.id, {it.now, *rc::gen::inRange(0, 12), 0});
+      if (*rc::gen::inRange(0, 3) == 0) {
+        it.health.record(one.id, evidence::wrong_answer, it.now);
+      }
+    }
+    it.health.update(it.now);
+    const std::vector<std::string> excluded{"e0"};
+    const route_request request{.pool = "p",
+                                .minimum_version = *rc::gen::inRange<std::uint64_t>(1, 4),
+                                .excluded = excluded};
+    const auto chosen = it.choose(request);
+    naive_router naive;
+    RC_ASSERT(bool(chosen) == bool(naive.choose(request, it.table)));
+    if (!chosen) {
+      return;
+    }
+    RC_ASSERT(meets_needs(*it.table.find(chosen.value().endpoint), request));
+    bool healthy_left = false;
+    it.table.for_each([&](const endpoint& one) {
+      healthy_left = healthy_left || (meets_needs(one, request) && it.health.usable(one.id));
+    });
+    RC_ASSERT(it.health.usable(chosen.value().endpoint) || !healthy_left);
+  });
+  testing::check_property("affinity cannot raise an endpoint above the bound", [] {
+    fixture it;
+    it.add_some(*rc::gen::inRange(2, 9));
+    const auto router = router::create(it.options).value();
+    std::map<std::string, int> open;
+    const int total = *rc::gen::inRange(10, 120);
+    for (int i = 0; i < total; ++i) {
+      // Most prompts are the same, so that affinity pulls towards one endpoint.
+      const std::vector<prefix_hash> prefix{*rc::gen::inRange<prefix_hash>(0, 2)};
+      const route_request request{
+          .pool = "p", .prompt_tokens = 4000, .expected_tokens = 1, .prefix = prefix};
+      const auto chosen =
+          router.choose(request, it.table, it.health, it.hints, it.now, it.random).value();
+      it.hints.note_dispatch(chosen.endpoint, prefix, it.now);
+      it.table.note_dispatch(chosen.endpoint, it.now);
+      open[chosen.endpoint] += 1;
+      const double mean = (i + 1.0) / static_cast<double>(it.added.size());
+      RC_ASSERT(open[chosen.endpoint] <= it.options.imbalance_bound * mean + 1);
+    }
+  });
+}
+
+TEST_CASE("endpoint subsets") {
+  fixture it;
+  it.add_some(100);
+  SECTION("are stable under churn") {
+    const auto before = endpoint_subset(it.table, "i1", "r", "p", 16);
+    REQUIRE(before.size() == 16);
+    it.table.remove("a99");
+    const auto after = endpoint_subset(it.table, "i1", "r", "p", 16);
+    const auto kept = std::count_if(after.begin(), after.end(), [&](const std::string& id) {
+      return std::find(before.begin(), before.end(), id) != before.end();
+    });
+    CHECK(kept >= 15);
+  }
+  SECTION("differ between instances and together reach every endpoint") {
+    std::set<std::string> reached;
+    for (int i = 0; i < 40; ++i) {
+      for (auto& id : endpoint_subset(it.table, "i" + std::to_string(i), "r", "p", 16)) {
+        reached.insert(std::move(id));
+      }
+    }
+    CHECK(reached.size() == 100);
+  }
+  SECTION("keep a way out of the region") {
+    endpoint far = it.added[0];
+    far.id = "far";
+    far.region = "s";
+    it.add(far);
+    const auto list = endpoint_subset(it.table, "i1", "r", "p", 16);
+    CHECK(std::find(list.begin(), list.end(), "far") != list.end());
+  }
+}
+
+} // namespace boragedoor::routing
