--- a/libs/events/event.cpp
+++ b/libs/events/event.cpp
@@ -1,5 +1,7 @@
 #include "events/event.h"
 
+#include <optional>
+
 namespace boragedoor::events {
 
 namespace {
@@ -10,6 +12,23 @@
   }
 }
 
+/// Far beyond any real time (285 years), and small enough that sums of a few cannot overflow.
+constexpr std::int64_t max_time_us = 1LL << 53;
+
+bool is_time(std::optional<std::int64_t> us) {
+  return us && *us >= -max_time_us && *us <= max_time_us;
+}
+
+std::optional<event_kind> kind_of(const json& value) {
+  const auto number = integer_field(value, "number");
+  // The greatest number of the catalogue has four digits; greater ones must not wrap around.
+  constexpr std::int64_t greatest = 9999;
+  if (!number || *number < 0 || *number > greatest) {
+    return std::nullopt;
+  }
+  return find_kind(static_cast<int>(*number));
+}
+
 } // namespace
 
 std::string event_id(const event& it) {
@@ -43,14 +62,14 @@
 }
 
 result<event> event_from_json(const json& value) {
-  const auto number = integer_field(value, "number");
-  const auto kind = number ? find_kind(static_cast<int>(*number)) : std::nullopt;
+  const auto kind = kind_of(value);
   const auto instance = string_field(value, "instance");
   const auto boot = string_field(value, "boot");
   const auto sequence = integer_field(value, "sequence");
   const auto monotonic = integer_field(value, "monotonic_us");
   const auto wall = integer_field(value, "wall_us");
-  if (!kind || !instance || !boot || !sequence || !monotonic || !wall) {
+  if (!kind || !instance || !boot || !sequence || *sequence < 1 || !is_time(monotonic) ||
+      !is_time(wall)) {
     return error{error_code::protocol, "not an event: a required field is missing or malformed"};
   }
   event it;
@@ -67,6 +86,9 @@
   it.cause = string_field(value, "cause").value_or("");
   it.revision = static_cast<std::uint64_t>(integer_field(value, "revision").value_or(0));
   if (const auto details = value.find("details"); details != value.end()) {
+    if (!details->is_object()) {
+      return error{error_code::protocol, "not an event: details is no object"};
+    }
     it.details = *details;
   }
   return it;
