--- a/libs/daemon/configuration_task.cpp
+++ b/libs/daemon/configuration_task.cpp
@@ -179,8 +179,9 @@
 }
 
 void configuration_task::carry_out(const replication::send_message& it) {
+  const std::string bytes = replication::encode(it.what);
   peers_.send(it.peer,
-              {{"type", "replication"}, {"body", json::binary(replication::encode(it.what))}});
+              {{"type", "replication"}, {"body", json::binary({bytes.begin(), bytes.end()})}});
 }
 
 void configuration_task::carry_out(const replication::configuration_changed& it) {
@@ -223,7 +224,9 @@
       !body->is_binary()) {
     return;
   }
-  const auto decoded = replication::decode(body->get_binary());
+  const auto& bytes = body->get_binary();
+  const auto decoded = replication::decode(
+      std::string_view(reinterpret_cast<const char*>(bytes.data()), bytes.size()));
   if (decoded) {
     run(spread_.on_message(peer, decoded.value(), context_.now()));
   }
