Add the usage counters and windows

Cause: a usage window must never be reported twice with different figures, and each fact must count in exactly one window. Change: usage_counter keeps cumulative figures until it is told that a window is frozen and moves the rest to the next window, marked late; usage_window merges flushes, checkpoints, freezes by a create-only write and reports the frozen figures only. A window is frozen only once it is in a durable checkpoint: the simulation showed that otherwise a window frozen just before its holder died was never reported.

--- a/libs/ledger/batch_builder.cpp
+++ b/libs/ledger/batch_builder.cpp
@@ -17,8 +17,7 @@
 
 std::vector<std::uint64_t> distinct(std::vector<std::uint64_t> versions) {
   std::ranges::sort(versions);
-  const auto rest = std::ranges::unique(versions);
-  versions.erase(rest.begin(), rest.end());
+  versions.erase(std::unique(versions.begin(), versions.end()), versions.end());
   return versions;
 }
 
--- a/libs/usage/usage_counter.h
+++ b/libs/usage/usage_counter.h
@@ -41,20 +41,26 @@
 private:
   struct window_state {
     usage_table table;
-    /// Flush sequence that last carried a change of the window, and whether it has changed since.
+    /// The first flush that carried the newest change.
     std::uint64_t sent = 0;
     bool changed = true;
+    bool confirmed = false;
+    time_point ask_again{};
   };
   struct shard_state {
     std::map<std::uint64_t, window_state> windows;
-    /// Frozen windows above `frozen_below`; all below are frozen too.
+    /// Frozen windows from `frozen_below` on; all below it are frozen.
     std::set<std::uint64_t> frozen;
+    std::uint64_t frozen_below = 0;
     std::uint64_t sequence = 0;
+    std::uint64_t holder_token = 0;
   };
 
   usage_counter(usage_source source, duration window_length);
-  [[nodiscard]] std::uint64_t open_window(const shard_state& shard, std::uint64_t window) const;
-  void add_row(std::uint32_t shard, std::uint64_t window, usage_key key, const usage_figures& it);
+  static bool is_frozen(const shard_state& shard, std::uint64_t window);
+  static void add_row(shard_state& shard, std::uint64_t window, usage_key key,
+                      const usage_figures& it);
+  static void mark_frozen(shard_state& shard, std::uint64_t window);
 
   usage_source source_;
   duration window_length_;
--- a/libs/usage/usage_documents.h
+++ b/libs/usage/usage_documents.h
@@ -18,6 +18,8 @@
   std::uint64_t sequence = 0;
   /// Windows that changed since the holder last confirmed them.
   std::map<std::uint64_t, usage_table> windows;
+
+  friend bool operator==(const usage_flush&, const usage_flush&) = default;
 };
 
 json to_json(const usage_flush& flush);
@@ -28,6 +30,8 @@
   usage_source source;
   std::uint32_t shard = 0;
   std::uint64_t sequence = 0;
+  /// The holder's fencing token; a new one makes the instance send everything again.
+  std::uint64_t token = 0;
 };
 
 json to_json(const usage_flush_merged& it);
--- a/libs/usage/usage_figures.h
+++ b/libs/usage/usage_figures.h
@@ -29,7 +29,7 @@
   std::uint64_t endpoint_us = 0;
 
   usage_figures& operator+=(const usage_figures& it);
-  /// Every figure of `it` must be at most its own here.
+  /// Stops at 0: a figure from another process never makes one wrap.
   usage_figures& operator-=(const usage_figures& it);
   friend bool operator==(const usage_figures&, const usage_figures&) = default;
 };
--- a/libs/usage/usage_window.h
+++ b/libs/usage/usage_window.h
@@ -23,7 +23,9 @@
   std::string body;
 };
 
-enum class window_change { frozen, reported, readback };
+/// `damaged`: a document in the store cannot be read. A damaged checkpoint is replaced; a damaged
+/// frozen window has to be repaired by an operator.
+enum class window_change { frozen, reported, readback, damaged };
 
 /// For the event log.
 struct window_note {
@@ -31,7 +33,7 @@
   std::uint64_t window = 0;
 };
 
-/// Another holder has taken over, or a document is damaged: drop this object.
+/// Another holder has taken over: drop this object.
 struct window_stopped {
   error reason;
 };
@@ -81,20 +83,61 @@
 
 private:
   struct report_state {
-    frozen_window document;
+    /// Read from the store if this holder did not freeze the window.
+    std::optional<frozen_window> document;
+    std::uint64_t read_call = 0;
     bool outstanding = false;
     time_point next_at{};
-    backoff delay{seconds(1), seconds(30)};
+    backoff delay;
   };
 
   usage_window(std::uint32_t shard, std::uint64_t token, window_options options);
 
+  void read_checkpoint(actions& out);
+  void checkpoint_found(time_point now, actions& out, const store_read_result& result);
+  void merge_checkpoint(actions& out, const std::string& text);
+  void claim(time_point now, actions& out);
+  void write_checkpoint(time_point now, actions& out);
+  void settle_checkpoint(actions& out);
+  void settle_freezes(actions& out);
+  void stop(actions& out);
+
+  void merge_window(actions& out, const usage_flush& it, std::uint64_t window,
+                    const usage_table& table);
+  void freeze_due(time_point now, wall_time wall, actions& out);
+  void adopt_frozen(actions& out, const std::string& text, std::uint64_t window);
+  void tell_sources(actions& out, const frozen_window& it, const window_counters& also);
+  report_state& add_report(std::uint64_t window);
+  void report_due(time_point now, actions& out);
+  bool report_read(time_point now, actions& out, const store_read_result& result);
+  template <class Result>
+  void finish_call(time_point now, actions& out, const Result& result);
+
   std::uint32_t shard_;
   std::uint64_t token_;
   window_options options_;
   store_caller caller_;
   bool stopped_ = false;
   usage_checkpoint state_;
+
+  // The checkpoint.
+  std::uint64_t checkpoint_version_ = 0;
+  std::uint64_t checkpoint_read_ = 0;
+  std::optional<time_point> read_again_at_;
+  backoff read_delay_;
+  std::optional<cas_write> checkpoint_write_;
+  /// Open windows in the checkpoint that is being written, and in the last one that was.
+  std::set<std::uint64_t> written_windows_;
+  std::set<std::uint64_t> durable_windows_;
+  bool claimed_ = false;
+  bool changed_ = false;
+  time_point started_{};
+  time_point next_checkpoint_{};
+
+  std::map<std::uint64_t, cas_write> freezes_;
+  /// The newest frozen windows, to answer late flushes without a read.
+  std::map<std::uint64_t, frozen_window> frozen_;
+  std::map<std::uint64_t, report_state> reports_;
 };
 
 } // namespace boragedoor::usage
