Add the trainer stand-in and the tests of all stand-ins

Change: trainer_client runs steps against the service and trainer_checks judges what comes back; boragedoor-standin trainer prints a summary and exits 1 on a violation. tests/standin covers the protocol answers, compare-and-swap, lease expiry, watch history, fencing, a version swap in mid-answer and each kind of fault.

--- a/apps/standin/main.cpp
+++ b/apps/standin/main.cpp
@@ -1,9 +1,11 @@
 #include <csignal>
 #include <iostream>
+#include <string>
 
 #include <gflags/gflags.h>
 
 #include "launcher.h"
+#include "trainer_command.h"
 
 namespace {
 
@@ -13,7 +15,8 @@
 constexpr const char* usage_text =
     "Runs a small fake of one part of the platform.\n"
     "usage: boragedoor-standin "
-    "store|engine|service|ordering|usage|instances|weights|all [--listen=HOST:PORT] [flags]";
+    "store|engine|service|ordering|usage|instances|weights|all [--listen=HOST:PORT] [flags]\n"
+    "       boragedoor-standin trainer --target=HOST:PORT[,HOST:PORT...] --key=KEY [flags]";
 
 int run_servers(boragedoor::net::event_loop& loop, const std::string& name) {
   auto options = boragedoor::standin::read_flags();
@@ -48,5 +51,7 @@
     std::cerr << loop.error().message << '\n';
     return exit_failed;
   }
-  return run_servers(*loop.value(), argv[1]);
+  const std::string name = argv[1];
+  return name == "trainer" ? boragedoor::standin::run_trainer(*loop.value())
+                           : run_servers(*loop.value(), name);
 }
