--- a/libs/settings/daemon_settings.cpp
+++ b/libs/settings/daemon_settings.cpp
@@ -1,13 +1,12 @@
 #include "settings/daemon_settings.h"
 
 #include <algorithm>
-#include <fstream>
 #include <limits>
 #include <map>
 #include <set>
-#include <sstream>
 #include <utility>
 
+#include "base/file.h"
 #include "settings/ini_entries.h"
 #include "settings/setting_keys.h"
 
@@ -133,15 +132,11 @@
 }
 
 checked<daemon_settings> daemon_settings::load(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  std::ostringstream text;
-  if (file) {
-    text << file.rdbuf();
-  }
-  if (!file) {
+  const auto text = read_whole_file(path);
+  if (!text) {
     return findings{{path, 0, "", "cannot be read", "check the path and its permissions"}};
   }
-  return parse(text.str(), path);
+  return parse(text.value(), path);
 }
 
 } // namespace boragedoor::settings
--- a/libs/tool/command.cpp
+++ b/libs/tool/command.cpp
@@ -5,6 +5,8 @@
 #include <iterator>
 #include <ostream>
 
+#include "base/file.h"
+
 namespace boragedoor::tool {
 
 const command* find_command(std::string_view name) {
@@ -32,13 +34,7 @@
   if (path == "-") {
     return std::string(std::istreambuf_iterator<char>(context.in), {});
   }
-  std::ifstream file(path, std::ios::binary);
-  std::string text(std::istreambuf_iterator<char>(file), {});
-  // Opening a directory succeeds and reading it fails, so both are looked at.
-  if (!file.is_open() || file.bad()) {
-    return error{error_code::io, path + ": cannot be read; check the path and its permissions"};
-  }
-  return text;
+  return read_whole_file(path);
 }
 
 result<void> write_output(command_context& context, const std::string& path,
--- a/tests/configuration/questionnaire_test.cpp
+++ b/tests/configuration/questionnaire_test.cpp
@@ -1,6 +1,7 @@
 #include "configuration/questionnaire.h"
 
 #include <algorithm>
+#include <cctype>
 #include <fstream>
 #include <iterator>
 
@@ -62,6 +63,22 @@
   CHECK(contains(total_size(threadwell, "service"), 3));
 }
 
+TEST_CASE("the page of the questionnaire explains every field of the samples") {
+  std::ifstream file("../../docs/questionnaire.md");
+  REQUIRE(file);
+  const std::string page(std::istreambuf_iterator<char>(file), {});
+  for (const char* team : {"sinaltec", "threadwell"}) {
+    const json flat = testing::sample_json(team).flatten();
+    for (const auto& [path, value] : flat.items()) {
+      // "/pools/0/sizes/1/minimum" is the field `minimum`; list entries have no name of their own.
+      const std::string field = path.substr(path.rfind('/') + 1);
+      INFO(path);
+      CHECK((std::isdigit(static_cast<unsigned char>(field.front())) != 0 ||
+             page.find("| `" + field + "` |") != std::string::npos));
+    }
+  }
+}
+
 TEST_CASE("a questionnaire") {
   SECTION("that leaves optional answers out gets their defaults") {
     const auto it = testing::sample_questionnaire("sinaltec");
