--- a/libs/daemon/usage_task.cpp
+++ b/libs/daemon/usage_task.cpp
@@ -316,6 +316,9 @@
   case usage::window_change::reported:
     entry.number = events::event_number::usage_window_reported;
     break;
+  case usage::window_change::damaged:
+    entry.number = events::event_number::store_document_damaged;
+    break;
   case usage::window_change::readback:
     entry.number = events::event_number::store_readback;
     break;
--- a/libs/events/catalogue.cpp
+++ b/libs/events/catalogue.cpp
@@ -84,6 +84,8 @@
     {store_available, info, "store_available", "The store answers again."},
     {store_readback, info, "store_readback",
      "The outcome of a store call was unknown and was read back."},
+    {store_document_damaged, error, "store_document_damaged",
+     "A document in the store cannot be read; the work that needs it has stopped."},
 });
 
 } // namespace
--- a/libs/events/catalogue.h
+++ b/libs/events/catalogue.h
@@ -71,6 +71,7 @@
   store_unavailable = 1801,
   store_available = 1802,
   store_readback = 1803,
+  store_document_damaged = 1804,
 };
 
 /// What the catalogue says about one event.
