--- /dev/null
+++ b/libs/requests/crash_suspects.cpp
@@ -0,0 +1,232 @@
+#include "requests/crash_suspects.h"
+
+#include <algorithm>
+
+#include "base/hash.h"
+#include "base/json_fields.h"
+
+namespace boragedoor::requests {
+
+namespace {
+
+constexpr std::size_t max_name_bytes = 128;
+/// One crash proves nothing about any of the requests that ran there.
+constexpr std::size_t crashes_to_quarantine = 2;
+
+bool good_name(const std::string& it) {
+  return !it.empty() && it.size() <= max_name_bytes;
+}
+
+bool read_record(const json& value, crash_record& to) {
+  constexpr std::int64_t most_ms = std::int64_t{1} << 50;
+  const auto at = integer_field(value, "at_ms");
+  if (!at || *at < 0 || *at > most_ms) {
+    return false;
+  }
+  to.at = wall_time(milliseconds(*at));
+  return read_field(value, "fingerprint", to.fingerprint) &&
+         read_field(value, "endpoint", to.endpoint) &&
+         read_field(value, "incarnation", to.incarnation) && good_name(to.fingerprint) &&
+         good_name(to.endpoint) && good_name(to.incarnation);
+}
+
+} // namespace
+
+std::string request_fingerprint(std::string_view workspace, std::string_view model,
+                                std::string_view body) {
+  // Lengths keep different splits of the same bytes apart.
+  return sha256_hex(std::to_string(workspace.size()) + ":" + std::to_string(model.size()) + ":" +
+                    std::string(workspace) + std::string(model) + std::string(body));
+}
+
+json to_json(std::span<const crash_record> records) {
+  json list = json::array();
+  for (const crash_record& it : records) {
+    list.push_back({{"fingerprint", it.fingerprint},
+                    {"endpoint", it.endpoint},
+                    {"incarnation", it.incarnation},
+                    {"at_ms", to_milliseconds(it.at)}});
+  }
+  return list;
+}
+
+result<std::vector<crash_record>> crash_records_from_json(const json& value) {
+  std::vector<crash_record> records;
+  const bool ok = value.is_array() && std::ranges::all_of(value, [&records](const json& it) {
+                    return read_record(it, records.emplace_back());
+                  });
+  if (!ok) {
+    return error{error_code::protocol, "crash_suspects: a record is malformed"};
+  }
+  return records;
+}
+
+crash_suspects crash_suspects::create(suspect_options options) {
+  return crash_suspects(options);
+}
+
+bool crash_suspects::insert(time_point now, wall_time wall, const crash_record& it) {
+  if (it.at + options_.keep <= wall || it.at > wall + options_.clock_allowance) {
+    return false;
+  }
+  const crash_id id{it.endpoint, it.incarnation};
+  process_end& end = crashes_[id];
+  if (end.requests.empty()) {
+    end.heard = now;
+  }
+  const auto [place, inserted] = end.requests.emplace(it.fingerprint, it.at);
+  if (!inserted) {
+    // Two instances saw the same crash of the same request; the earlier time is kept, so that all
+    // instances come to the same set.
+    if (it.at >= place->second) {
+      return false;
+    }
+    order_.erase({place->second, id, it.fingerprint});
+    place->second = it.at;
+  }
+  by_fingerprint_[it.fingerprint].insert(id);
+  order_.insert({it.at, id, it.fingerprint});
+  while (order_.size() > options_.capacity) {
+    remove_oldest();
+  }
+  return true;
+}
+
+void crash_suspects::remove_oldest() {
+  const auto [at, id, fingerprint] = *order_.begin();
+  order_.erase(order_.begin());
+  const auto end = crashes_.find(id);
+  end->second.requests.erase(fingerprint);
+  if (end->second.requests.empty()) {
+    crashes_.erase(end);
+  }
+  const auto by = by_fingerprint_.find(fingerprint);
+  by->second.erase(id);
+  if (by->second.empty()) {
+    by_fingerprint_.erase(by);
+  }
+}
+
+std::vector<crash_record> crash_suspects::record_crash(time_point now, wall_time wall,
+                                                       std::string_view endpoint,
+                                                       std::string_view incarnation,
+                                                       std::span<const std::string> fingerprints) {
+  // Messages carry milliseconds; the own record must be equal to its copies.
+  const wall_time at(std::chrono::floor<milliseconds>(wall));
+  std::vector<crash_record> records;
+  for (const std::string& it : fingerprints) {
+    records.push_back({it, std::string(endpoint), std::string(incarnation), at});
+  }
+  return merge(now, wall, records);
+}
+
+std::vector<crash_record> crash_suspects::merge(time_point now, wall_time wall,
+                                                std::span<const crash_record> records) {
+  expire(now, wall);
+  std::vector<crash_record> fresh;
+  std::ranges::copy_if(records, std::back_inserter(fresh),
+                       [&](const crash_record& it) { return insert(now, wall, it); });
+  return fresh;
+}
+
+void crash_suspects::expire(time_point /*now*/, wall_time wall) {
+  while (!order_.empty() && std::get<wall_time>(*order_.begin()) + options_.keep <= wall) {
+    remove_oldest();
+  }
+}
+
+bool crash_suspects::suspect(std::string_view fingerprint) const {
+  return by_fingerprint_.contains(fingerprint);
+}
+
+wall_time crash_suspects::time_of(const crash_id& id) const {
+  const auto& requests = crashes_.at(id).requests;
+  return std::ranges::min_element(requests, {}, [](const auto& it) { return it.second; })->second;
+}
+
+bool crash_suspects::crashed_before(std::string_view fingerprint, const crash_id& id) const {
+  const auto& ids = by_fingerprint_.find(fingerprint)->second;
+  return std::ranges::any_of(
+      ids, [&](const crash_id& it) { return it != id && time_of(it) <= time_of(id); });
+}
+
+bool crash_suspects::only_suspect(std::string_view fingerprint, const crash_id& id) const {
+  return std::ranges::none_of(crashes_.at(id).requests, [&](const auto& it) {
+    return it.first != fingerprint && crashed_before(it.first, id);
+  });
+}
+
+std::vector<crash_suspects::crash_id> crash_suspects::counted(std::string_view fingerprint) const {
+  std::vector<crash_id> list;
+  const auto it = by_fingerprint_.find(fingerprint);
+  if (it != by_fingerprint_.end()) {
+    std::ranges::copy_if(it->second, std::back_inserter(list),
+                         [&](const crash_id& id) { return only_suspect(fingerprint, id); });
+  }
+  return list;
+}
+
+bool crash_suspects::held(std::string_view fingerprint) const {
+  return counted(fingerprint).size() >= crashes_to_quarantine;
+}
+
+bool crash_suspects::quarantined(time_point now, std::string_view fingerprint) const {
+  const std::vector<crash_id> list = counted(fingerprint);
+  return static_cast<std::size_t>(std::ranges::count_if(list, [&](const crash_id& id) {
+           return crashes_.at(id).heard + options_.settle <= now;
+         })) >= crashes_to_quarantine;
+}
+
+std::vector<std::string> crash_suspects::suspects() const {
+  std::vector<std::string> list;
+  std::set<std::string_view> seen;
+  for (const auto& [at, id, fingerprint] : order_) {
+    if (seen.insert(fingerprint).second && !held(fingerprint)) {
+      list.push_back(fingerprint);
+    }
+  }
+  return list;
+}
+
+std::vector<crash_record> crash_suspects::records() const {
+  std::vector<crash_record> list;
+  for (const auto& [at, id, fingerprint] : order_) {
+    list.push_back({fingerprint, id.first, id.second, at});
+  }
+  return list;
+}
+
+bool may_place(const crash_suspects& suspects, std::string_view fingerprint,
+               std::span<const std::string> running) {
+  if (suspects.held(fingerprint)) {
+    return false;
+  }
+  return !suspects.suspect(fingerprint) ||
+         std::ranges::none_of(running, [&](const std::string& it) {
+           return it != fingerprint && suspects.suspect(it);
+         });
+}
+
+std::optional<std::string> suspect_endpoint(const crash_suspects& suspects,
+                                            std::string_view fingerprint,
+                                            std::span<const std::string> endpoints) {
+  std::vector<std::string> free;
+  for (const std::string& it : suspects.suspects()) {
+    if (free.empty()) {
+      free.assign(endpoints.begin(), endpoints.end());
+    }
+    const auto best = std::ranges::max_element(free, {}, [&it](const std::string& endpoint) {
+      return std::pair(hash64(endpoint, hash64(it)), endpoint);
+    });
+    if (best == free.end()) {
+      return std::nullopt;
+    }
+    if (it == fingerprint) {
+      return *best;
+    }
+    free.erase(best);
+  }
+  return std::nullopt;
+}
+
+} // namespace boragedoor::requests
--- a/libs/requests/crash_suspects.h
+++ b/libs/requests/crash_suspects.h
@@ -2,10 +2,13 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 #include "base/json.h"
@@ -40,6 +43,9 @@
   duration keep = std::chrono::hours(1);
   /// Most records kept; the oldest go first. At about 300 bytes each this is under 1.5 MB.
   std::size_t capacity = 4096;
+  /// Wait for the records of other instances before a request is quarantined. They take a few
+  /// milliseconds for each of at most 5 hops; the rest is for noticing the crash.
+  duration settle = seconds(2);
   /// Records further ahead of this instance's clock are refused, because they would never expire.
   duration clock_allowance = std::chrono::minutes(5);
 };
@@ -49,8 +55,9 @@
 ///
 /// A crash counts against a request if no other request that ran there had crashed with an earlier
 /// incarnation, that is, if it was the only suspect, or nobody was one yet. Two such crashes
-/// quarantine it. Requests that only shared an endpoint with it do not run with another suspect
-/// afterwards (`may_place`), so they stay at one.
+/// quarantine it. Of requests that share every crash with the one that causes them, only the
+/// earliest crash counts against the innocent. Two harmful requests at the same time can hold an
+/// innocent one that ran with both, each at its first crash; the rule cannot tell them apart.
 class crash_suspects {
 public:
   static crash_suspects create(suspect_options options = {});
@@ -67,35 +74,55 @@
   void expire(time_point now, wall_time wall);
 
   [[nodiscard]] bool suspect(std::string_view fingerprint) const;
-  [[nodiscard]] bool quarantined(std::string_view fingerprint) const;
+  /// Whether two crashes count against the request as far as is known. It runs nowhere for now.
+  [[nodiscard]] bool held(std::string_view fingerprint) const;
+  /// Whether it is held and all instances had time to report what else ran there.
+  [[nodiscard]] bool quarantined(time_point now, std::string_view fingerprint) const;
+  /// Suspects that are not held, in the order in which they became suspects.
+  [[nodiscard]] std::vector<std::string> suspects() const;
   [[nodiscard]] std::vector<crash_record> records() const;
   [[nodiscard]] std::size_t size() const { return order_.size(); }
 
 private:
+  /// Endpoint and incarnation.
+  using crash_id = std::pair<std::string, std::string>;
   /// What is known of one process that died.
-  struct crash {
-    wall_time at{};
-    std::set<std::string, std::less<>> fingerprints;
+  struct process_end {
+    /// The requests that ran there, and when each was reported.
+    std::map<std::string, wall_time, std::less<>> requests;
+    /// When this instance first heard of it.
+    time_point heard{};
   };
-  using crash_id = std::pair<std::string, std::string>;
 
   explicit crash_suspects(suspect_options options) : options_(options) {}
-  bool insert(wall_time wall, const crash_record& it);
+  bool insert(time_point now, wall_time wall, const crash_record& it);
   void remove_oldest();
+  /// When the first instance noticed the crash.
+  [[nodiscard]] wall_time time_of(const crash_id& id) const;
+  /// The crashes that count against a request.
+  [[nodiscard]] std::vector<crash_id> counted(std::string_view fingerprint) const;
   [[nodiscard]] bool only_suspect(std::string_view fingerprint, const crash_id& id) const;
   [[nodiscard]] bool crashed_before(std::string_view fingerprint, const crash_id& id) const;
 
   suspect_options options_;
-  std::map<crash_id, crash> crashes_;
+  std::map<crash_id, process_end> crashes_;
   /// The crashes of each fingerprint.
   std::map<std::string, std::set<crash_id>, std::less<>> by_fingerprint_;
   /// All records, oldest first.
   std::set<std::tuple<wall_time, crash_id, std::string>> order_;
 };
 
-/// Whether a request may run on an endpoint where `running` run: no two suspects share an endpoint,
-/// and a quarantined request runs nowhere.
+/// Whether a request may run on an endpoint where `running` of this instance run: no two suspects
+/// share an endpoint, and a request that is held or quarantined runs nowhere.
 bool may_place(const crash_suspects& suspects, std::string_view fingerprint,
                std::span<const std::string> running);
 
+/// The endpoint that a suspect is to run on, out of all that serve its model; nothing if it is held
+/// or there is none. Instances do not know each other's running requests, but they have the same
+/// suspects, so they come to the same choice: no two suspects get one endpoint unless there are
+/// more suspects than endpoints. Older suspects keep theirs when others are added.
+std::optional<std::string> suspect_endpoint(const crash_suspects& suspects,
+                                            std::string_view fingerprint,
+                                            std::span<const std::string> endpoints);
+
 } // namespace boragedoor::requests
--- a/libs/requests/once_table.h
+++ b/libs/requests/once_table.h
@@ -33,8 +33,11 @@
   outcome_unknown,
   /// The key belongs to another request.
   key_conflict,
-  /// Nothing was sent for this call, and nothing will be.
-  not_executed
+  /// Nothing was sent for this key, and nothing will be for this call.
+  not_executed,
+  /// Nothing was sent for this call, and nothing will be. The store did not answer, so it is not
+  /// known whether an earlier call with the key ran.
+  store_unavailable
 };
 std::string_view to_string(once_status status);
 
@@ -58,6 +61,9 @@
   /// Age at which a record may be removed. A resend after that runs again, so callers must give
   /// up earlier.
   duration keep = std::chrono::hours(24);
+  /// How long after its deadline a call whose caller is answered still tries to bring its record up
+  /// to date.
+  duration settle_for = std::chrono::minutes(10);
 };
 
 /// A call that carries an idempotency key.
@@ -91,8 +97,9 @@
   once_actions finish(time_point now, std::uint64_t id, stored_answer answer);
   /// The attempt broke after bytes may have been sent.
   once_actions lose(time_point now, std::uint64_t id);
-  /// Certainly no byte was sent, before or after `send_request`: removes the claim. The caller is
-  /// told `not_executed` at once, because this process will not send the request any more.
+  /// Certainly no byte was sent, before or after `send_request`: removes the claim and then tells
+  /// the caller `not_executed`. A claim that was not marked as sent may have been taken over, so
+  /// the answer waits until the store confirms.
   once_actions release(time_point now, std::uint64_t id);
 
   once_actions finish_write(time_point now, const store_write_result& result);
@@ -117,12 +124,38 @@
     once_record record;
     std::uint64_t version = 0;
     std::optional<cas_write> write;
-    /// Released while a write was outstanding.
+    /// The caller is answered; only the record is to be brought up to date.
+    bool replied = false;
     bool release_wanted = false;
+    /// When the caller is answered even if the store is not.
+    time_point answer_by{};
+    /// The outstanding call of a release, and when it is repeated.
+    std::uint64_t release_call = 0;
+    std::optional<time_point> release_at;
+    backoff release_delay;
   };
 
   once_table(std::string instance, std::string boot, once_options options);
 
+  entry* find(std::uint64_t id, step at);
+  void claim(once_actions& out, entry& it, std::uint64_t expect_version);
+  void write(once_actions& out, entry& it, once_state state, std::uint64_t expect_version);
+  void close(once_actions& out, entry& it, once_state state);
+  static void reply(once_actions& out, entry& it, once_status status, stored_answer answer = {});
+  void written(once_actions& out, entry& it);
+  void refused(wall_time wall, once_actions& out, entry& it, const cas_write& found);
+  void resolve(wall_time wall, once_actions& out, entry& it, const std::string& text,
+               std::uint64_t version);
+  bool settle(wall_time wall, once_actions& out, entry& it);
+  void release(once_actions& out, entry& it);
+  bool release_written(time_point now, once_actions& out, entry& it,
+                       const store_write_result& result);
+  bool release_read(time_point now, wall_time wall, once_actions& out, entry& it,
+                    const store_read_result& result);
+  template <class Visit>
+  void erase_finished(Visit visit);
+  bool pass_deadline(time_point now, once_actions& out, entry& it);
+
   std::string instance_;
   std::string boot_;
   once_options options_;
--- /dev/null
+++ b/libs/requests/stream_relay.cpp
@@ -0,0 +1,45 @@
+#include "requests/stream_relay.h"
+
+#include <algorithm>
+
+namespace boragedoor::requests {
+
+stream_relay stream_relay::create(std::uint64_t max_tokens) {
+  return stream_relay(max_tokens);
+}
+
+result<stream_resumption> stream_relay::resume(time_point /*now*/, std::string attempt) {
+  if (complete_) {
+    return error{error_code::conflict, "the answer is whole already"};
+  }
+  attempt_ = std::move(attempt);
+  attempt_frames_ = 0;
+  return stream_resumption{text_, max_tokens_ - std::min(max_tokens_, frames_), versions_};
+}
+
+std::optional<relayed_frame> stream_relay::take(time_point /*now*/, const stream_frame& frame) {
+  if (complete_ || frame.attempt != attempt_ || frame.index != attempt_frames_) {
+    return std::nullopt;
+  }
+  ++attempt_frames_;
+  text_ += frame.text;
+  const auto place = std::ranges::lower_bound(versions_, frame.weight_version);
+  if (place == versions_.end() || *place != frame.weight_version) {
+    versions_.insert(place, frame.weight_version);
+  }
+  return relayed_frame{frames_++, frame.text, frame.weight_version};
+}
+
+result<void> stream_relay::finish(time_point /*now*/, std::string_view attempt,
+                                  std::uint64_t frames) {
+  if (complete_ || attempt != attempt_) {
+    return error{error_code::conflict, "the end marker is not of the current attempt"};
+  }
+  if (frames != attempt_frames_) {
+    return error{error_code::protocol, "the stream ended with frames missing"};
+  }
+  complete_ = true;
+  return success();
+}
+
+} // namespace boragedoor::requests
--- /dev/null
+++ b/tests/requests/stream_relay_test.cpp
@@ -0,0 +1,80 @@
+#include "requests/stream_relay.h"
+
+#include <set>
+
+#include "support/fault_store.h"
+#include "support/property.h"
+
+namespace boragedoor::requests {
+
+TEST_CASE("a stream that another endpoint carries on") {
+  stream_relay relay = stream_relay::create(10);
+  REQUIRE(relay.resume({}, "a"));
+  CHECK(relay.take({}, {"a", 0, "one ", 5})->index == 0);
+  CHECK_FALSE(relay.take({}, {"a", 0, "one ", 5}));
+  const auto next = relay.resume({}, "b");
+  REQUIRE(next);
+  CHECK(next.value().text == "one ");
+  CHECK(next.value().max_tokens == 9);
+  SECTION("ignores what the first one still sends") {
+    CHECK_FALSE(relay.take({}, {"a", 1, "two", 5}));
+    CHECK_FALSE(relay.finish({}, "a", 1));
+  }
+  SECTION("keeps all versions and the numbers of the frames") {
+    CHECK(relay.take({}, {"b", 0, "two", 6})->index == 1);
+    CHECK(relay.finish({}, "b", 1));
+    CHECK(relay.text() == "one two");
+    CHECK(relay.weight_versions() == std::vector<std::uint64_t>{5, 6});
+    CHECK_FALSE(relay.resume({}, "c"));
+  }
+  SECTION("is not whole with frames missing") {
+    CHECK_FALSE(relay.finish({}, "b", 1));
+    CHECK_FALSE(relay.complete());
+  }
+}
+
+TEST_CASE("no token is lost or doubled") {
+  testing::fault_counts counts;
+  testing::check_property("over any number of endpoints", [&] {
+    random_engine random(
+        *rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint64_t>()).as("seed"));
+    ++counts.schedules;
+    const std::uint64_t tokens = 1 + testing::pick(random, 60);
+    stream_relay relay = stream_relay::create(tokens);
+    std::string wanted;
+    std::set<std::uint64_t> versions;
+    std::vector<stream_frame> old;
+    std::uint64_t attempt = 0;
+    while (!relay.complete()) {
+      const std::string id = "a" + std::to_string(++attempt);
+      const auto from = relay.resume({}, id).value();
+      RC_ASSERT(from.text == wanted);
+      RC_ASSERT(from.max_tokens == tokens - relay.frames());
+      for (std::uint64_t n = 0; n < from.max_tokens && testing::pick(random, 15) != 0; ++n) {
+        ++counts.steps;
+        const stream_frame frame{id, n, std::to_string(relay.frames()) + " ",
+                                 testing::pick(random, 9)};
+        const auto relayed = relay.take({}, frame);
+        RC_ASSERT(relayed.has_value());
+        RC_ASSERT(relayed->index + 1 == relay.frames());
+        wanted += frame.text;
+        versions.insert(frame.weight_version);
+        old.push_back(frame);
+        counts.count("repeated frames");
+        RC_ASSERT(!relay.take({}, old[testing::pick(random, old.size())]));
+      }
+      const std::uint64_t sent = relay.frames() - (tokens - from.max_tokens);
+      RC_ASSERT(!relay.finish({}, id, sent + 1));
+      if (relay.frames() == tokens) {
+        RC_ASSERT(relay.finish({}, id, sent).has_value());
+      }
+      counts.count("endpoints lost", relay.complete() ? 0 : 1);
+    }
+    RC_ASSERT(relay.text() == wanted);
+    RC_ASSERT(std::set<std::uint64_t>(relay.weight_versions().begin(),
+                                      relay.weight_versions().end()) == versions);
+  });
+  counts.print("streams");
+}
+
+} // namespace boragedoor::requests
