--- a/libs/daemon/completion_task.cpp
+++ b/libs/daemon/completion_task.cpp
@@ -133,7 +133,7 @@
   auto it = std::make_shared<active_completion>(std::move(spec), std::move(callbacks));
   it->number = ++last_number_;
   active_[it->number] = it;
-  if (suspects_.quarantined(it->fingerprint)) {
+  if (suspects_.quarantined(context_.now(), it->fingerprint)) {
     record(events::event_number::request_quarantined, *it);
     fail(it, {422,
               "quarantined",
@@ -246,6 +246,15 @@
   if (it->ended || it->attempt) {
     return;
   }
+  if (suspects_.quarantined(context_.now(), it->fingerprint)) {
+    record(events::event_number::request_quarantined, *it);
+    fail(it, {422,
+              "quarantined",
+              "this request brought down two endpoints and is held back",
+              executed_so_far(*it),
+              {}});
+    return;
+  }
   const std::vector<std::string> avoid = endpoints_to_avoid(*it);
   routing::route_request request;
   request.pool = it->spec.pool;
@@ -410,15 +419,6 @@
 
 void completion_task::after_failure(const active_ptr& it, const attempt_failure& failure) {
   const time_point now = context_.now();
-  if (suspects_.quarantined(it->fingerprint)) {
-    record(events::event_number::request_quarantined, *it);
-    fail(it, {422,
-              "quarantined",
-              "this request brought down two endpoints and is held back",
-              retry::executed::yes,
-              {}});
-    return;
-  }
   retry::failed_attempt failed;
   failed.attempts = it->attempts;
   if (it->relay.frames() > 0) {
--- a/libs/daemon/service_task.cpp
+++ b/libs/daemon/service_task.cpp
@@ -188,6 +188,11 @@
                 retry::executed::no,
                 {}});
     return;
+  case requests::once_status::store_unavailable:
+    // This call was not sent, but an earlier one with the key may have run.
+    fail(call, {503, "store_unavailable", "the store did not answer; nothing was sent now",
+                retry::executed::unknown, seconds(2)});
+    return;
   case requests::once_status::not_executed:
     fail(call, {503, "not_executed", "the request was not sent", retry::executed::no, seconds(1)});
     return;
--- a/libs/net/event_loop.cpp
+++ b/libs/net/event_loop.cpp
@@ -72,10 +72,14 @@
   constexpr duration longest_wait = milliseconds(10);
   timer tick(*this, [] {});
   tick.start_periodic(longest_wait);
-  while (!done() && monotonic_now() < end) {
+  // `done` may have effects, so it is not asked again after it has returned true.
+  while (!done()) {
+    if (monotonic_now() >= end) {
+      return false;
+    }
     event_base_loop(base_, EVLOOP_ONCE);
   }
-  return done();
+  return true;
 }
 
 void event_loop::stop() {
