Free requests and connections that end early

Cause: evhttp takes a request off its connection when the connection ends before the reply is finished, and then leaves it to its user; nobody freed it, so every caller that left in mid-reply and every aborted reply leaked a request. On the client side, connections whose release was still posted when the loop ended leaked too. Change: the close callback frees a detached request, also after an abort; posted calls own the connection that they release.

--- a/libs/net/http_client.cpp
+++ b/libs/net/http_client.cpp
@@ -67,6 +67,7 @@
   event_loop& loop;
   std::map<address, std::vector<client_connection*>> idle;
   std::unordered_set<call*> active;
+  bool closed = false;
 
   explicit impl(event_loop& owner) : loop(owner) {}
 
@@ -90,7 +91,7 @@
 
   void keep_connection(const address& target, client_connection* conn) {
     auto& list = idle[target];
-    if (list.size() >= max_idle_per_target) {
+    if (closed || list.size() >= max_idle_per_target) {
       free_connection(conn);
       return;
     }
@@ -104,9 +105,11 @@
     delete conn;
   }
 
-  void free_connection_later(client_connection* conn) {
-    // evhttp may still use the connection after the callback that is running now.
-    loop.post([conn] { free_connection(conn); });
+  /// Owns a connection until a posted call has run, or until the loop ends without running it.
+  using connection_guard = std::unique_ptr<client_connection, void (*)(client_connection*)>;
+
+  static std::shared_ptr<connection_guard> guard(client_connection* conn) {
+    return std::make_shared<connection_guard>(conn, &impl::free_connection);
   }
 };
 
@@ -258,7 +261,8 @@
     }
     client_connection* conn = connection_;
     connection_ = nullptr;
-    owner_->loop.post([conn, keep = shared_from_this()] { impl::free_connection(conn); });
+    // evhttp may still use the connection after the callback that is running now.
+    owner_->loop.post([guard = impl::guard(conn), keep = shared_from_this()] { guard->reset(); });
   }
 
   void succeed(evhttp_request* raw) {
@@ -269,8 +273,8 @@
       evbuffer_remove(buf, reply_.body.data(), reply_.body.size());
     }
     // The connection is free for reuse only after evhttp has returned from this callback.
-    owner_->loop.post([owner = owner_, target = spec_.target, conn = connection_] {
-      owner->keep_connection(target, conn);
+    owner_->loop.post([owner = owner_, target = spec_.target, guard = impl::guard(connection_)] {
+      owner->keep_connection(target, guard->release());
     });
     connection_ = nullptr;
     if (callbacks_.on_reply) {
@@ -318,6 +322,7 @@
 http_client::http_client(event_loop& loop) : impl_(std::make_shared<impl>(loop)) {}
 
 http_client::~http_client() {
+  impl_->closed = true;
   const std::unordered_set<impl::call*> calls = impl_->active;
   for (impl::call* it : calls) {
     it->cancel();
--- a/libs/net/http_server.cpp
+++ b/libs/net/http_server.cpp
@@ -125,8 +125,22 @@
   static void on_close(evhttp_connection* /*conn*/, void* self) {
     auto& state = *static_cast<impl*>(self);
     if (state.raw != nullptr) {
-      // evhttp frees the request together with the connection after this callback.
+      evhttp_request* raw = state.raw;
       state.caller_left();
+      free_if_detached(raw);
+    }
+  }
+
+  // The close callback of a connection whose reply was aborted.
+  static void on_aborted(evhttp_connection* /*conn*/, void* raw) {
+    free_if_detached(static_cast<evhttp_request*>(raw));
+  }
+
+  // evhttp frees a request together with its connection, unless it has taken the request off the
+  // connection because the reply was not finished.
+  static void free_if_detached(evhttp_request* raw) {
+    if (evhttp_request_get_connection(raw) == nullptr) {
+      evhttp_request_free(raw);
     }
   }
 
@@ -216,6 +230,7 @@
   evhttp_request* raw = impl_->raw;
   const bool started = impl_->streaming;
   impl_->release();
+  evhttp_connection_set_closecb(conn, &impl::on_aborted, raw);
   if (fd >= 0) {
     ::shutdown(fd, SHUT_RDWR);
   }
