--- a/libs/requests/naive_crash_suspects.cpp
+++ b/libs/requests/naive_crash_suspects.cpp
@@ -6,7 +6,7 @@
                                         const std::string& incarnation,
                                         std::span<const std::string> fingerprints) {
   for (const std::string& it : fingerprints) {
-    crashes_[it].insert(endpoint + "/" + incarnation);
+    crashes_[it].emplace(endpoint, incarnation);
   }
 }
 
--- a/libs/requests/naive_crash_suspects.h
+++ b/libs/requests/naive_crash_suspects.h
@@ -4,6 +4,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <utility>
 
 #include "base/time.h"
 
@@ -18,7 +19,8 @@
   [[nodiscard]] bool quarantined(const std::string& fingerprint) const;
 
 private:
-  std::map<std::string, std::set<std::string>> crashes_;
+  /// Endpoint and incarnation of each crash.
+  std::map<std::string, std::set<std::pair<std::string, std::string>>> crashes_;
 };
 
 } // namespace boragedoor::requests
--- a/libs/requests/once_record.h
+++ b/libs/requests/once_record.h
@@ -11,7 +11,7 @@
 namespace boragedoor::requests {
 
 /// Largest stored answer body, in bytes.
-inline constexpr std::size_t max_stored_answer_bytes = 64 * 1024;
+inline constexpr std::size_t max_stored_answer_bytes = 65'536;
 
 /// claimed: nothing was sent. sent: bytes may have been sent. done: the answer is known.
 /// unknown: sent, and the answer will never be known.
--- a/libs/requests/once_table.cpp
+++ b/libs/requests/once_table.cpp
@@ -159,17 +159,15 @@
   }
   const once_record& found = read.value();
   const bool running = wall < found.deadline;
+  const bool lost =
+      found.state == once_state::unknown || (found.state == once_state::sent && !running);
   if (found.body_hash != it.record.body_hash) {
     reply(out, it, once_status::key_conflict);
   } else if (found.state == once_state::done) {
     reply(out, it, once_status::answer, found.answer);
-  } else if (found.state == once_state::unknown) {
+  } else if (lost) {
     reply(out, it, once_status::outcome_unknown);
-  } else if (running) {
-    reply(out, it, once_status::in_progress);
-  } else if (found.state == once_state::sent) {
-    reply(out, it, once_status::outcome_unknown);
-  } else if (it.release_wanted) {
+  } else if (running || it.release_wanted) {
     reply(out, it, once_status::in_progress);
   } else {
     claim(out, it, version);
--- a/tests/ledger/ledger_simulation.cpp
+++ b/tests/ledger/ledger_simulation.cpp
@@ -44,6 +44,9 @@
     if (const auto* sent = std::get_if<batch_reply>(&it)) {
       reply = sent;
     }
+    if (std::holds_alternative<step_stopped>(it) && &to == holders_.back().get()) {
+      checker_.violation("the newest holder stopped");
+    }
     const auto* note = std::get_if<step_note>(&it);
     if (note != nullptr && note->change == step_change::batch_delivered) {
       checker_.first_delivery(note->n, reply->content, to.version);
--- a/tests/ledger/sample_checker.h
+++ b/tests/ledger/sample_checker.h
@@ -20,6 +20,7 @@
   void first_delivery(std::uint64_t n, const std::string& content, std::uint64_t version);
   /// The trainer received a batch. It keeps the first content of a number.
   void received(std::uint64_t n, const std::string& content);
+  void violation(std::string what) { violations_.push_back(std::move(what)); }
   /// The step is complete: every sample must have been received in one batch.
   void finish();
 
--- a/tests/ledger/step_ledger_test.cpp
+++ b/tests/ledger/step_ledger_test.cpp
@@ -177,6 +177,20 @@
     CHECK(it.ledger.complete());
     CHECK(it.batch_keys() == 0);
   }
+  SECTION("a content that a former holder wrote and did not list is left alone, and removed last") {
+    it.store.submit(1, store_put{0, batch_key("t", 1, 1), "left", 0});
+    it.store.step(false);
+    it.finish_all(5);
+    it.poll(0);
+    REQUIRE(it.batches.size() == 1);
+    CHECK(it.batches[0].n == 2);
+    CHECK(it.store.cells().at(batch_key("t", 1, 1)).value == "left");
+    while (it.batches.back().kind == batch_reply_kind::batch) {
+      it.poll(it.batches.back().n);
+    }
+    CHECK(it.ledger.complete());
+    CHECK(it.batch_keys() == 0);
+  }
   SECTION("a sample that can never run is delivered as an error, so that the step ends") {
     for (const run_sample& each : std::exchange(it.running, {})) {
       it.run(it.ledger.finish_sample(it.now, {each.attempt, {}, {}, "quarantined"}));
--- a/tests/requests/once_simulation.h
+++ b/tests/requests/once_simulation.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <deque>
+#include <map>
+#include <string>
 #include <vector>
 
 #include "requests/once_checker.h"
@@ -55,6 +57,8 @@
   once_checker checker_;
   time_point now_{};
   std::vector<instance> instances_;
+  /// Keys by the store key of their record.
+  std::map<std::string, std::string> names_;
   std::uint64_t last_call_ = 0;
   std::size_t last_client_ = 0;
 };
--- a/tests/usage/usage_checker.h
+++ b/tests/usage/usage_checker.h
@@ -18,6 +18,7 @@
   void died(const usage_source& source) { dead_.insert(source); }
   /// The intake received a report.
   void reported(const std::string& id, const std::string& body);
+  void violation(std::string what) { violations_.push_back(std::move(what)); }
   /// Compares the frozen windows with the facts, and with the reports if all should have come.
   void finish(const std::vector<frozen_window>& windows);
 
--- a/tests/usage/usage_simulation.cpp
+++ b/tests/usage/usage_simulation.cpp
@@ -47,6 +47,9 @@
 
 void usage_simulation::feed(holder& to, actions out) {
   for (action& it : out) {
+    if (std::holds_alternative<window_stopped>(it) && &to == holders_.back().get()) {
+      checker_.violation("the newest holder stopped");
+    }
     to.todo.push_back(std::move(it));
   }
 }
