Admission: let only learned lengths refuse a request early

Cause: chats state 1024 tokens and use 80. Before the first completes the predictor returns what is stated, which is too long for their deadline, so all are refused and no length is ever learned. Change: the early refusal counts the expected run only where lengths are known.

--- a/libs/admission/admission_controller.cpp
+++ b/libs/admission/admission_controller.cpp
@@ -80,7 +80,10 @@
 admission_answer admission_controller::submit(const admission_request& it, time_point now) {
   const int tokens = predict(it.workspace, it.kind, it.stated_tokens);
   const duration wait = expected_wait(it.workspace, it.kind, now);
-  const duration run = from_seconds(tokens / place_rate_);
+  // What callers state refuses nothing: else a class that overstates would never complete a request
+  // from which its real lengths are learned.
+  const bool known = lengths_.trusted(it.workspace, name_of(it.kind));
+  const duration run = known ? from_seconds(tokens / place_rate_) : duration::zero();
   const duration slack = it.deadline - now;
   if (wait + run > slack) {
     // A request that is too long for its deadline even without a queue is not helped by waiting
@@ -99,10 +102,10 @@
                    wait / 2);
   }
   entry.priority = budget_.spend(it.workspace, it.stated_priority, tokens, now);
-  active known;
-  known.request = entry;
-  known.can_pause = it.can_pause;
-  waiting_.insert_or_assign(it.id, std::move(known));
+  active tracked;
+  tracked.request = entry;
+  tracked.can_pause = it.can_pause;
+  waiting_.insert_or_assign(it.id, std::move(tracked));
   // There is room, as was checked above.
   static_cast<void>(queue_.push(std::move(entry)));
   return accepted{tokens};
--- a/libs/admission/length_predictor.cpp
+++ b/libs/admission/length_predictor.cpp
@@ -50,4 +50,9 @@
   return stated > 0 ? std::min(tokens, stated) : tokens;
 }
 
+bool length_predictor::trusted(std::string_view workspace, std::string_view kind) const {
+  const auto it = histories_.find({std::string(workspace), std::string(kind)});
+  return it != histories_.end() && it->second.lengths.size() >= options_.fewest_samples;
+}
+
 } // namespace boragedoor::admission
--- a/libs/admission/length_predictor.h
+++ b/libs/admission/length_predictor.h
@@ -34,6 +34,9 @@
   /// moves to the observed quantile as samples come in.
   [[nodiscard]] int predict(std::string_view workspace, std::string_view kind, int stated) const;
 
+  /// Whether enough lengths are known that the prediction no longer leans on what is stated.
+  [[nodiscard]] bool trusted(std::string_view workspace, std::string_view kind) const;
+
 private:
   struct history {
     std::vector<int> lengths;
--- a/tests/admission/admission_controller_test.cpp
+++ b/tests/admission/admission_controller_test.cpp
@@ -71,6 +71,11 @@
     then = now + retry_after + seconds(5);
     CHECK(is_accepted(admission.submit(request(12, request_class::rollout, then + slack), then)));
   }
+  SECTION("does not refuse for a stated length, from which it would never learn the real one") {
+    auto overstated = request(1, request_class::interactive, now + seconds(5));
+    overstated.stated_tokens = 100'000;
+    CHECK(is_accepted(admission.submit(overstated, now)));
+  }
   SECTION("reports requests that became late while they waited") {
     admission.submit(request(1, request_class::rollout, far), now);
     admission.submit(request(2, request_class::rollout, now + seconds(30)), now);
