Admission: never give an instance less than an equal part of the places

Cause: lookups take 60 ms and reports are up to 2 s old, so others' load that is long gone cut an instance's places to none. Change: places_of_instance has a floor of total_places / instances.

--- a/libs/admission/admission_controller.cpp
+++ b/libs/admission/admission_controller.cpp
@@ -228,12 +228,14 @@
 }
 
 int places_of_instance(int own_running, int total_places, int total_outstanding, int instances) {
+  const int n = std::max(1, instances);
+  const int equal_part = (total_places + n - 1) / n;
   if (total_outstanding > total_places) {
     // Everyone gives back in proportion until the endpoints are no longer overfull.
-    return static_cast<int>(static_cast<long long>(own_running) * total_places / total_outstanding);
+    const auto reduced = static_cast<long long>(own_running) * total_places / total_outstanding;
+    return std::max(equal_part, static_cast<int>(reduced));
   }
-  const int n = std::max(1, instances);
-  return own_running + (total_places - total_outstanding + n - 1) / n;
+  return std::max(equal_part, own_running + (total_places - total_outstanding + n - 1) / n);
 }
 
 } // namespace boragedoor::admission
--- a/libs/admission/admission_controller.h
+++ b/libs/admission/admission_controller.h
@@ -136,7 +136,8 @@
 };
 
 /// Places that an instance may use: what it uses now and its part of the free ones. All instances
-/// read about the same load, so each takes only its part of what it sees free.
+/// read about the same load, so each takes only its part of what it sees free. Never less than an
+/// equal part: reports are older than short requests take, and may show others' load that is gone.
 int places_of_instance(int own_running, int total_places, int total_outstanding, int instances);
 
 } // namespace boragedoor::admission
