Routing: discount what old reports say of others' load

Cause: reports are up to 2 s old and lookups take 60 ms, so all instances steered by load that was gone, and towards the same endpoint. Change: the reported load of others moves to the pool's mean as the report ages, with the time constant of the request at hand; own requests stay exact.

--- a/libs/bench/measurement.cpp
+++ b/libs/bench/measurement.cpp
@@ -71,9 +71,9 @@
   }
 }
 
-void measurement::imbalance(double most_over_mean) {
-  imbalance_sum_ += most_over_mean;
-  imbalance_samples_ += 1;
+void measurement::load(double most, double mean) {
+  most_sum_ += most;
+  mean_sum_ += mean;
 }
 
 void measurement::cache(std::uint64_t hits, std::uint64_t blocks) {
@@ -124,7 +124,7 @@
   out.pauses = pauses_;
   out.hedges = hedges_;
   out.wasted_share = ratio(wasted_, wasted_ + useful_);
-  out.imbalance = ratio(imbalance_sum_, static_cast<double>(imbalance_samples_));
+  out.imbalance = ratio(most_sum_, mean_sum_);
   out.cache_hit_share = ratio(static_cast<double>(block_hits_), static_cast<double>(blocks_));
   return out;
 }
--- a/libs/bench/measurement.h
+++ b/libs/bench/measurement.h
@@ -41,7 +41,8 @@
   std::uint64_t hedges = 0;
   /// Output tokens thrown away, relative to all that were produced.
   double wasted_share = 0;
-  /// Mean over time of the most loaded engine's load over the mean load.
+  /// The most loaded engine's load over time, relative to the mean one's. The ratio of the sums, so
+  /// that times with next to no load do not count much.
   double imbalance = 0;
   double cache_hit_share = 0;
 };
@@ -59,7 +60,8 @@
   void pause() { pauses_ += 1; }
   void hedge() { hedges_ += 1; }
   void wasted(int tokens) { wasted_ += tokens; }
-  void imbalance(double most_over_mean);
+  /// Adds a sample of the engines' loads.
+  void load(double most, double mean);
   void cache(std::uint64_t hits, std::uint64_t blocks);
 
   [[nodiscard]] figures result(const deployment& where, duration length) const;
@@ -93,8 +95,8 @@
   std::uint64_t duplicates_ = 0;
   std::uint64_t pauses_ = 0;
   std::uint64_t hedges_ = 0;
-  double imbalance_sum_ = 0;
-  std::uint64_t imbalance_samples_ = 0;
+  double most_sum_ = 0;
+  double mean_sum_ = 0;
   std::uint64_t block_hits_ = 0;
   std::uint64_t blocks_ = 0;
 };
--- a/libs/bench/simulation.cpp
+++ b/libs/bench/simulation.cpp
@@ -174,9 +174,8 @@
       n += 1;
     }
   }
-  // Ratios of a nearly idle fleet say nothing.
-  if (n > 0 && sum / n > 0.1) {
-    results_.imbalance(most / (sum / n));
+  if (n > 0) {
+    results_.load(most, sum / n);
   }
 }
 
--- a/libs/routing/router.cpp
+++ b/libs/routing/router.cpp
@@ -1,7 +1,7 @@
 #include "routing/router.h"
 
 #include <algorithm>
-#include <array>
+#include <cmath>
 
 #include "base/hash.h"
 
@@ -10,7 +10,8 @@
 struct router::candidate {
   const endpoint* where = nullptr;
   health_state health = health_state::healthy;
-  int outstanding = 0;
+  /// Expected requests there now.
+  double outstanding = 0;
   std::uint64_t rank = 0;
   bool other_region = false;
 };
@@ -158,6 +159,7 @@
     return out;
   }
   list = best_tier(std::move(list), in);
+  discount_old_reports(list, in);
   const bool last_resort = list.front().health != health_state::healthy;
   route_choice out = pick(within_bound(std::move(list)), in, random);
   out.probe = last_resort;
@@ -170,7 +172,7 @@
   in.table.for_each([&](const endpoint& it) {
     if (it.state != endpoint_state::draining &&
         (in.request.pool.empty() || it.pool == in.request.pool)) {
-      all.push_back({&it, in.health.state(it.id), in.table.outstanding(it.id),
+      all.push_back({&it, in.health.state(it.id), static_cast<double>(in.table.outstanding(it.id)),
                      hash64(it.id, subset_seed_), it.region != options_.region});
     }
   });
@@ -219,6 +221,30 @@
   return list;
 }
 
+void router::discount_old_reports(candidates& list, const context& in) const {
+  double others = 0;
+  double slots = 0;
+  for (const candidate& it : list) {
+    others += it.outstanding - in.table.own_open(it.where->id);
+    slots += it.where->max_running;
+  }
+  const double run =
+      std::max(1, in.request.expected_tokens) / options_.decode_rate * options_.full_batch_slowdown;
+  for (candidate& it : list) {
+    const auto report = in.table.last_report(it.where->id);
+    if (!report) {
+      continue;
+    }
+    // Others' requests that the report shows are replaced within about a run by requests that may
+    // be anywhere, of which the mean is the best estimate.
+    const double age = std::max(0.0, to_seconds(in.now - report->as_of));
+    const double trust = std::exp(-age / run);
+    const double own = in.table.own_open(it.where->id);
+    it.outstanding =
+        own + trust * (it.outstanding - own) + (1 - trust) * others / slots * it.where->max_running;
+  }
+}
+
 router::candidates router::within_bound(candidates list) const {
   double outstanding = 1;
   double slots = 0;
--- a/libs/routing/router.h
+++ b/libs/routing/router.h
@@ -111,6 +111,8 @@
   [[nodiscard]] const candidate* probe(const candidates& list, const context& in,
                                        random_engine& random) const;
   [[nodiscard]] candidates best_tier(candidates list, const context& in) const;
+  /// Moves what reports say of others' load towards the mean as they age.
+  void discount_old_reports(candidates& list, const context& in) const;
   [[nodiscard]] candidates within_bound(candidates list) const;
   /// Moves the nearest candidates to the front and returns how many they are.
   std::size_t sort_nearest(candidates& list) const;
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -141,6 +141,21 @@
     }
     CHECK(it.choose(request).value().endpoint == "cheap");
   }
+  SECTION("trusts a report about long requests, and not one that short requests have outlived") {
+    for (const char* id : {"a0", "a1", "a2"}) {
+      it.table.report(id, {it.now - seconds(1), 7, 0});
+    }
+    const auto chosen = [&](int expected_tokens) {
+      request.expected_tokens = expected_tokens;
+      std::set<std::string> seen;
+      for (int i = 0; i < 100; ++i) {
+        seen.insert(it.choose(request).value().endpoint);
+      }
+      return seen;
+    };
+    CHECK(chosen(10'000) == std::set<std::string>{"a3"});
+    CHECK(chosen(1).size() == 4);
+  }
   SECTION("says what is missing") {
     request.minimum_version = 3;
     const auto none = it.choose(request);
