--- a/libs/routing/router.cpp
+++ b/libs/routing/router.cpp
@@ -222,26 +222,27 @@
 }
 
 void router::discount_old_reports(candidates& list, const context& in) const {
-  double others = 0;
-  double slots = 0;
-  for (const candidate& it : list) {
-    others += it.outstanding - in.table.own_open(it.where->id);
-    slots += it.where->max_running;
-  }
+  // Others' requests that a report shows are replaced within about a run by requests that may be
+  // anywhere, of which the mean is the best estimate. So it is where no report came yet.
   const double run =
       std::max(1, in.request.expected_tokens) / options_.decode_rate * options_.full_batch_slowdown;
-  for (candidate& it : list) {
-    const auto report = in.table.last_report(it.where->id);
-    if (!report) {
-      continue;
+  double others = 0;
+  double reported_slots = 0;
+  std::vector<double> trust(list.size(), 0);
+  for (std::size_t i = 0; i < list.size(); ++i) {
+    const endpoint& it = *list[i].where;
+    if (const auto report = in.table.last_report(it.id)) {
+      trust[i] = std::exp(-std::max(0.0, to_seconds(in.now - report->as_of)) / run);
+      others += list[i].outstanding - in.table.own_open(it.id);
+      reported_slots += it.max_running;
     }
-    // Others' requests that the report shows are replaced within about a run by requests that may
-    // be anywhere, of which the mean is the best estimate.
-    const double age = std::max(0.0, to_seconds(in.now - report->as_of));
-    const double trust = std::exp(-age / run);
-    const double own = in.table.own_open(it.where->id);
-    it.outstanding =
-        own + trust * (it.outstanding - own) + (1 - trust) * others / slots * it.where->max_running;
+  }
+  const double mean = reported_slots > 0 ? others / reported_slots : 0;
+  for (std::size_t i = 0; i < list.size(); ++i) {
+    const endpoint& it = *list[i].where;
+    const double own = in.table.own_open(it.id);
+    list[i].outstanding =
+        own + trust[i] * (list[i].outstanding - own) + (1 - trust[i]) * mean * it.max_running;
   }
 }
 
