Health: weigh an endpoint's pace by the work of its requests

Cause: with no slow endpoint 56 verdicts "slow" fell in half an hour, because a 10-token response that waited 10 s counted like a 200-token one. Change: record_pace takes the time and the work of a request and compares decayed sums. Requests also prefer endpoints with a free slot.

--- a/libs/routing/endpoint_health.cpp
+++ b/libs/routing/endpoint_health.cpp
@@ -25,8 +25,8 @@
 
 // Share of the suspicion that a success leaves.
 constexpr double success_factor = 0.8;
-// Weight of the newest sample in an endpoint's typical pace.
-constexpr double pace_weight = 0.2;
+// What each successful request leaves of the earlier ones in an endpoint's pace.
+constexpr double pace_memory = 0.9;
 
 bool is_share(double value) {
   return value >= 0 && value <= 1;
@@ -93,13 +93,15 @@
   known.last_bad = now;
 }
 
-void endpoint_health::record_pace(std::string_view endpoint, double pace, time_point /*now*/) {
+void endpoint_health::record_pace(std::string_view endpoint, duration took, double work,
+                                  time_point /*now*/) {
   const auto found = judged_.find(endpoint);
-  if (found == judged_.end() || !(pace > 0)) {
+  if (found == judged_.end() || !(work > 0) || took <= duration::zero()) {
     return;
   }
   judged& it = found->second;
-  it.pace = it.pace_samples == 0 ? pace : it.pace + pace_weight * (pace - it.pace);
+  it.pace_seconds = it.pace_seconds * pace_memory + std::chrono::duration<double>(took).count();
+  it.pace_work = it.pace_work * pace_memory + work;
   it.pace_samples += 1;
 }
 
@@ -132,6 +134,8 @@
     // What led to the verdict is spent: only new evidence counts from here.
     known.suspicion = 0;
     known.good_in_a_row = 0;
+    known.pace_seconds = 0;
+    known.pace_work = 0;
     known.pace_samples = 0;
     known.relative_pace = 1;
     known.last_bad.reset();
@@ -165,7 +169,7 @@
   std::vector<double> paces;
   for (const member* it : pool) {
     if (it->second.pace_samples >= options_.slow_samples) {
-      paces.push_back(it->second.pace);
+      paces.push_back(pace(it->second));
     }
   }
   // With fewer than three there is no telling which one is slow.
@@ -175,7 +179,7 @@
   const double typical = median(paces);
   for (member* it : pool) {
     if (it->second.pace_samples >= options_.slow_samples) {
-      it->second.relative_pace = it->second.pace / typical;
+      it->second.relative_pace = pace(it->second) / typical;
     }
   }
 }
--- a/libs/routing/endpoint_health.h
+++ b/libs/routing/endpoint_health.h
@@ -78,9 +78,10 @@
   void remove(std::string_view endpoint);
 
   void record(std::string_view endpoint, evidence it, time_point now);
-  /// Records the time of a successful request relative to its size (for example seconds a token),
-  /// for comparison with peers of the same pool.
-  void record_pace(std::string_view endpoint, double pace, time_point now);
+  /// Records how long a successful request took for its work (tokens of a response, or 1 for a
+  /// plain call), for comparison with peers of the same pool. Longer requests count for more,
+  /// because the time of a short one is mostly waiting.
+  void record_pace(std::string_view endpoint, duration took, double work, time_point now);
 
   /// Applies what time and evidence call for and returns the changes. Call about once a second and
   /// after evidence against an endpoint.
@@ -108,7 +109,9 @@
     time_point changed_at;
     duration set_aside_for{};
     int good_in_a_row = 0;
-    double pace = 0;
+    /// Decayed sums over successful requests, and their number since the last verdict.
+    double pace_seconds = 0;
+    double pace_work = 0;
     int pace_samples = 0;
     double relative_pace = 1;
     bool by_data_centre = false;
@@ -129,6 +132,7 @@
             changes& out) const;
   [[nodiscard]] std::size_t places_left(const pool_members& pool, double share,
                                         bool data_centres_too) const;
+  [[nodiscard]] static double pace(const judged& it) { return it.pace_seconds / it.pace_work; }
   [[nodiscard]] bool is_slow(const judged& it) const;
   [[nodiscard]] bool down_recently(const judged& it, time_point now) const;
   [[nodiscard]] double decayed(const judged& it, time_point now) const;
--- a/libs/routing/router.cpp
+++ b/libs/routing/router.cpp
@@ -253,7 +253,9 @@
     outstanding += it.outstanding;
     slots += it.where->max_running;
   }
-  const double most = options_.imbalance_bound * outstanding / slots;
+  // While there is a free slot anywhere, nobody waits for one.
+  const double most =
+      std::min(options_.imbalance_bound * outstanding / slots, std::max(1.0, outstanding / slots));
   // The least loaded candidate is at or below the mean and always stays.
   std::erase_if(list,
                 [&](const candidate& it) { return it.outstanding > most * it.where->max_running; });
