Routing: reckon with the other instances that see the same report

Cause: an endpoint that a report shows as empty drew what all 8 instances had to send until the next report (up to 72 requests on 32 slots; engine load max/mean 1.8 at full load). Filtering by the bound made it worse, because few endpoints were left to draw from. Change: own dispatches since the report count for all sharing_instances.

--- a/apps/boragedoor-bench/main.cpp
+++ b/apps/boragedoor-bench/main.cpp
@@ -16,7 +16,7 @@
 DEFINE_double(hours, 2, "Virtual hours.");
 DEFINE_uint64(seed, 1, "Seed of arrivals and decisions.");
 DEFINE_double(load, 0.8, "Demand for rollouts relative to the engines' capacity.");
-DEFINE_double(naive_tokens_per_slot, 2048,
+DEFINE_double(naive_tokens_per_slot, 4096,
               "Tokens in flight that naive admission allows for each engine slot.");
 DEFINE_string(
     parts, "all",
--- a/libs/bench/simulation.h
+++ b/libs/bench/simulation.h
@@ -19,9 +19,9 @@
   policy_parts parts;
   fault_plan faults;
   workload_options workload;
-  /// Tokens in flight that naive admission allows for each engine slot. Callers state four to
+  /// Tokens in flight that naive admission allows for each engine slot. Callers state eight to
   /// sixteen times what they use, so an operator would allow far more than a slot really holds.
-  double naive_tokens_per_slot = 2'048;
+  double naive_tokens_per_slot = 4'096;
 };
 
 /// One run in virtual time: endpoints as rate models and instances that decide separately.
--- a/libs/routing/endpoint_table.cpp
+++ b/libs/routing/endpoint_table.cpp
@@ -120,4 +120,11 @@
   return it == rows_.end() ? 0 : it->second.own_open;
 }
 
+int endpoint_table::own_since_report(std::string_view id) const {
+  const auto it = rows_.find(id);
+  return it == rows_.end() ? 0
+                           : static_cast<int>(it->second.started.size()) -
+                                 static_cast<int>(it->second.finished.size());
+}
+
 } // namespace boragedoor::routing
--- a/libs/routing/endpoint_table.h
+++ b/libs/routing/endpoint_table.h
@@ -71,6 +71,8 @@
   [[nodiscard]] int outstanding(std::string_view id) const;
   /// This instance's own open requests.
   [[nodiscard]] int own_open(std::string_view id) const;
+  /// This instance's dispatches minus its completions since the last report.
+  [[nodiscard]] int own_since_report(std::string_view id) const;
   [[nodiscard]] std::size_t size() const { return rows_.size(); }
 
   /// Calls `visit(const endpoint&)` in the order of ids.
--- a/libs/routing/router.cpp
+++ b/libs/routing/router.cpp
@@ -137,10 +137,11 @@
                  "router: the instance's name must be given and subset_size be positive"};
   }
   if (options.imbalance_bound < 1 || options.prefill_rate <= 0 || options.decode_rate <= 0 ||
-      options.kv_move_rate <= 0 || options.full_batch_slowdown < 1) {
+      options.kv_move_rate <= 0 || options.full_batch_slowdown < 1 ||
+      options.sharing_instances < 1) {
     return error{error_code::invalid_argument,
-                 "router: imbalance_bound and full_batch_slowdown must be at least 1 and rates "
-                 "positive"};
+                 "router: imbalance_bound, full_batch_slowdown and sharing_instances must be at "
+                 "least 1 and rates positive"};
   }
   return router(options);
 }
@@ -241,8 +242,11 @@
   for (std::size_t i = 0; i < list.size(); ++i) {
     const endpoint& it = *list[i].where;
     const double own = in.table.own_open(it.id);
-    list[i].outstanding =
-        own + trust[i] * (list[i].outstanding - own) + (1 - trust[i]) * mean * it.max_running;
+    // The other instances saw the same report, so each has probably sent as much there as this one.
+    const double alike =
+        (options_.sharing_instances - 1) * std::max(0, in.table.own_since_report(it.id));
+    const double reported = std::max(0.0, list[i].outstanding - own) + alike;
+    list[i].outstanding = own + trust[i] * reported + (1 - trust[i]) * mean * it.max_running;
   }
 }
 
--- a/libs/routing/router.h
+++ b/libs/routing/router.h
@@ -67,6 +67,9 @@
   std::string region{};
   /// Endpoints of a pool that this instance uses; the other instances use other subsets.
   std::size_t subset_size = 16;
+  /// Instances that choose among the same endpoints by the same reports, this one included: all of
+  /// them today, and about instances * subset_size / endpoints in a large fleet.
+  int sharing_instances = 8;
   /// No choice may raise an endpoint's share of its running slots above this many times the mean
   /// over the candidates, plus one request. Bounds what affinity can pile up.
   double imbalance_bound = 1.25;
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -234,6 +234,38 @@
   });
 }
 
+TEST_CASE("instances that see the same old report do not herd") {
+  fixture it;
+  it.add_some(4);
+  std::map<std::string, int> sent;
+  const auto run = [&](int sharing_instances) {
+    for (int instance = 0; instance < 8; ++instance) {
+      fixture own;
+      own.options.instance += std::to_string(instance);
+      own.options.sharing_instances = sharing_instances;
+      own.random.seed(static_cast<std::uint64_t>(instance));
+      for (endpoint one : it.added) {
+        one.max_running = 32;
+        own.add(one);
+        own.table.report(one.id, {own.now, one.id == "a0" ? 0 : 16, 0});
+      }
+      for (int i = 0; i < 8; ++i) {
+        const auto chosen = own.choose({.pool = "p", .expected_tokens = 500}).value().endpoint;
+        own.table.note_dispatch(chosen, own.now + milliseconds(1));
+        sent[chosen] += 1;
+      }
+    }
+    return sent["a0"];
+  };
+  // All four would be equal at 28 requests, so the empty one has room for 28 of the 64.
+  SECTION("when each reckons with the others") {
+    CHECK(run(8) <= 1.25 * 28 + 1);
+  }
+  SECTION("as they would if each took itself for the only one") {
+    CHECK(run(1) > 1.25 * 28 + 1);
+  }
+}
+
 TEST_CASE("endpoint subsets") {
   fixture it;
   it.add_some(100);
