--- a/libs/bench/simulated_instance.h
+++ b/libs/bench/simulated_instance.h
@@ -23,6 +23,7 @@
   policy_parts parts;
   /// Takes requests of an instance that is gone to another one.
   std::function<void(const arrival&)> resubmit;
+  int live_instances = 1;
 };
 
 /// One instance: carries out what its decision code decides. Holds the life of each request; every
@@ -90,6 +91,7 @@
   decisions deciding_;
   surroundings& around_;
   bool alive_ = true;
+  time_point crashed_at_;
   std::uint64_t next_id_ = 1;
   requests requests_;
   std::unordered_map<std::uint64_t, attempt> attempts_;
