--- a/libs/bench/simulated_instance.cpp
+++ b/libs/bench/simulated_instance.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 
-constexpr duration resubmit_after = seconds(2);
+// Callers notice a silent instance after this time, and forget its address after that one.
+constexpr duration resubmit_after = seconds(1);
+constexpr duration addresses_kept = seconds(10);
 // Cache events reach readers this much later.
 constexpr duration cache_event_lag = seconds(2);
 // Tokens a second and fixed cost of moving a KV cache, as the router assumes them.
@@ -35,7 +37,9 @@
 
 void simulated_instance::arrive(const arrival& it) {
   if (!alive_) {
-    around_.events.after(resubmit_after, [this, &it] { around_.resubmit(it); });
+    const bool address_kept = around_.events.now() < crashed_at_ + addresses_kept;
+    around_.events.after(address_kept ? resubmit_after : duration::zero(),
+                         [this, &it] { around_.resubmit(it); });
     return;
   }
   const time_point now = around_.events.now();
@@ -73,7 +77,7 @@
 
 void simulated_instance::poll(pool where) {
   const time_point now = around_.events.now();
-  const auto actions = deciding_.poll(where, around_.where.instances, now);
+  const auto actions = deciding_.poll(where, around_.live_instances, now);
   for (const std::uint64_t id : actions.pause) {
     pause(id);
   }
@@ -163,7 +167,9 @@
   it.running.push_back(work.attempt);
   attempts_.emplace(work.attempt, attempt{id, endpoint, now, reserved});
   deciding_.table.note_dispatch(choice.endpoint, now);
-  deciding_.hints.note_dispatch(choice.endpoint, it.what->prefix, now);
+  if (around_.parts.routing) {
+    deciding_.hints.note_dispatch(choice.endpoint, it.what->prefix, now);
+  }
   around_.endpoints.start(index_, endpoint, work);
 }
 
@@ -201,9 +207,8 @@
   const arrival& what = *it.what;
   const time_point now = around_.events.now();
   const auto& description = around_.endpoints.at(by.endpoint).description();
-  const double took = std::chrono::duration<double>(now - by.started).count();
   if (around_.parts.routing) {
-    deciding_.health.record_pace(description.id, took / (what.tokens - it.text + 1), now);
+    deciding_.health.record_pace(description.id, now - by.started, what.tokens - it.text, now);
   }
   deciding_.record_success();
   if (auto* hedges = deciding_.hedges(); hedges != nullptr && is_rollout(what)) {
@@ -330,6 +335,9 @@
     return;
   }
   deciding_.table.report(it.description().id, it.published_load());
+  if (!around_.parts.routing) {
+    return;
+  }
   const time_point now = around_.events.now();
   std::vector<routing::cache_event> events;
   it.events_after(cache_sequences_[endpoint], now - cache_event_lag, events);
@@ -403,6 +411,7 @@
 
 void simulated_instance::crash() {
   alive_ = false;
+  crashed_at_ = around_.events.now();
   std::vector<std::uint64_t> ids;
   for (const auto& [id, it] : requests_) {
     ids.push_back(id);
--- a/libs/routing/router.cpp
+++ b/libs/routing/router.cpp
@@ -1,7 +1,7 @@
 #include "routing/router.h"
 
 #include <algorithm>
-#include <array>
+#include <cmath>
 
 #include "base/hash.h"
 
@@ -10,7 +10,8 @@
 struct router::candidate {
   const endpoint* where = nullptr;
   health_state health = health_state::healthy;
-  int outstanding = 0;
+  /// Expected requests there now.
+  double outstanding = 0;
   std::uint64_t rank = 0;
   bool other_region = false;
 };
@@ -136,10 +137,11 @@
                  "router: the instance's name must be given and subset_size be positive"};
   }
   if (options.imbalance_bound < 1 || options.prefill_rate <= 0 || options.decode_rate <= 0 ||
-      options.kv_move_rate <= 0 || options.full_batch_slowdown < 1) {
+      options.kv_move_rate <= 0 || options.full_batch_slowdown < 1 ||
+      options.sharing_instances < 1) {
     return error{error_code::invalid_argument,
-                 "router: imbalance_bound and full_batch_slowdown must be at least 1 and rates "
-                 "positive"};
+                 "router: imbalance_bound, full_batch_slowdown and sharing_instances must be at "
+                 "least 1 and rates positive"};
   }
   return router(options);
 }
@@ -158,6 +160,7 @@
     return out;
   }
   list = best_tier(std::move(list), in);
+  discount_old_reports(list, in);
   const bool last_resort = list.front().health != health_state::healthy;
   route_choice out = pick(within_bound(std::move(list)), in, random);
   out.probe = last_resort;
@@ -170,7 +173,7 @@
   in.table.for_each([&](const endpoint& it) {
     if (it.state != endpoint_state::draining &&
         (in.request.pool.empty() || it.pool == in.request.pool)) {
-      all.push_back({&it, in.health.state(it.id), in.table.outstanding(it.id),
+      all.push_back({&it, in.health.state(it.id), static_cast<double>(in.table.outstanding(it.id)),
                      hash64(it.id, subset_seed_), it.region != options_.region});
     }
   });
@@ -219,6 +222,34 @@
   return list;
 }
 
+void router::discount_old_reports(candidates& list, const context& in) const {
+  // Others' requests that a report shows are replaced within about a run by requests that may be
+  // anywhere, of which the mean is the best estimate. So it is where no report came yet.
+  const double run =
+      std::max(1, in.request.expected_tokens) / options_.decode_rate * options_.full_batch_slowdown;
+  double others = 0;
+  double reported_slots = 0;
+  std::vector<double> trust(list.size(), 0);
+  for (std::size_t i = 0; i < list.size(); ++i) {
+    const endpoint& it = *list[i].where;
+    if (const auto report = in.table.last_report(it.id)) {
+      trust[i] = std::exp(-std::max(0.0, to_seconds(in.now - report->as_of)) / run);
+      others += list[i].outstanding - in.table.own_open(it.id);
+      reported_slots += it.max_running;
+    }
+  }
+  const double mean = reported_slots > 0 ? others / reported_slots : 0;
+  for (std::size_t i = 0; i < list.size(); ++i) {
+    const endpoint& it = *list[i].where;
+    const double own = in.table.own_open(it.id);
+    // The other instances saw the same report, so each has probably sent as much there as this one.
+    const double alike =
+        (options_.sharing_instances - 1) * std::max(0, in.table.own_since_report(it.id));
+    const double reported = std::max(0.0, list[i].outstanding - own) + alike;
+    list[i].outstanding = own + trust[i] * reported + (1 - trust[i]) * mean * it.max_running;
+  }
+}
+
 router::candidates router::within_bound(candidates list) const {
   double outstanding = 1;
   double slots = 0;
@@ -226,7 +257,9 @@
     outstanding += it.outstanding;
     slots += it.where->max_running;
   }
-  const double most = options_.imbalance_bound * outstanding / slots;
+  // While there is a free slot anywhere, nobody waits for one.
+  const double most =
+      std::min(options_.imbalance_bound * outstanding / slots, std::max(1.0, outstanding / slots));
   // The least loaded candidate is at or below the mean and always stays.
   std::erase_if(list,
                 [&](const candidate& it) { return it.outstanding > most * it.where->max_running; });
--- a/libs/routing/router.h
+++ b/libs/routing/router.h
@@ -67,6 +67,9 @@
   std::string region{};
   /// Endpoints of a pool that this instance uses; the other instances use other subsets.
   std::size_t subset_size = 16;
+  /// Instances that choose among the same endpoints by the same reports, this one included: all of
+  /// them today, and about instances * subset_size / endpoints in a large fleet.
+  int sharing_instances = 8;
   /// No choice may raise an endpoint's share of its running slots above this many times the mean
   /// over the candidates, plus one request. Bounds what affinity can pile up.
   double imbalance_bound = 1.25;
@@ -111,6 +114,8 @@
   [[nodiscard]] const candidate* probe(const candidates& list, const context& in,
                                        random_engine& random) const;
   [[nodiscard]] candidates best_tier(candidates list, const context& in) const;
+  /// Moves what reports say of others' load towards the mean as they age.
+  void discount_old_reports(candidates& list, const context& in) const;
   [[nodiscard]] candidates within_bound(candidates list) const;
   /// Moves the nearest candidates to the front and returns how many they are.
   std::size_t sort_nearest(candidates& list) const;
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -22,6 +22,7 @@
   endpoint& add(endpoint it) {
     health.add(it.id, it.data_centre, it.pool);
     REQUIRE(table.put(it));
+    table.report(it.id, {now - milliseconds(1), 0, 0});
     added.push_back(std::move(it));
     return added.back();
   }
@@ -141,6 +142,29 @@
     }
     CHECK(it.choose(request).value().endpoint == "cheap");
   }
+  SECTION("trusts a report about long requests, and not one that short requests have outlived") {
+    for (const char* id : {"a0", "a1", "a2"}) {
+      it.table.report(id, {it.now, 7, 0});
+    }
+    it.table.report("a3", {it.now, 0, 0});
+    it.now += seconds(1);
+    const auto chosen = [&](int expected_tokens) {
+      request.expected_tokens = expected_tokens;
+      std::set<std::string> seen;
+      for (int i = 0; i < 100; ++i) {
+        seen.insert(it.choose(request).value().endpoint);
+      }
+      return seen;
+    };
+    CHECK(chosen(10'000) == std::set<std::string>{"a3"});
+    CHECK(chosen(1).size() == 4);
+    SECTION("and takes an endpoint without a report for loaded like the others") {
+      endpoint unknown = it.added[0];
+      unknown.id = "a4";
+      REQUIRE(it.table.put(unknown));
+      CHECK(chosen(1).size() == 5);
+    }
+  }
   SECTION("says what is missing") {
     request.minimum_version = 3;
     const auto none = it.choose(request);
@@ -210,6 +234,38 @@
   });
 }
 
+TEST_CASE("instances that see the same old report do not herd") {
+  fixture it;
+  it.add_some(4);
+  std::map<std::string, int> sent;
+  const auto run = [&](int sharing_instances) {
+    for (int instance = 0; instance < 8; ++instance) {
+      fixture own;
+      own.options.instance += std::to_string(instance);
+      own.options.sharing_instances = sharing_instances;
+      own.random.seed(static_cast<std::uint64_t>(instance));
+      for (endpoint one : it.added) {
+        one.max_running = 32;
+        own.add(one);
+        own.table.report(one.id, {own.now, one.id == "a0" ? 0 : 16, 0});
+      }
+      for (int i = 0; i < 8; ++i) {
+        const auto chosen = own.choose({.pool = "p", .expected_tokens = 500}).value().endpoint;
+        own.table.note_dispatch(chosen, own.now + milliseconds(1));
+        sent[chosen] += 1;
+      }
+    }
+    return sent["a0"];
+  };
+  // All four would be equal at 28 requests, so the empty one has room for 28 of the 64.
+  SECTION("when each reckons with the others") {
+    CHECK(run(8) <= 1.25 * 28 + 1);
+  }
+  SECTION("as they would if each took itself for the only one") {
+    CHECK(run(1) > 1.25 * 28 + 1);
+  }
+}
+
 TEST_CASE("endpoint subsets") {
   fixture it;
   it.add_some(100);
