Free requests of callers that leave and of aborted replies

Cause: net_test and tool_test leaked two requests each under the sanitize preset. evhttp takes an unfinished request off a failing connection and leaves it to its user, so every caller that left during a stream, and every aborted reply, kept its request for the life of the daemon. Change: the close callback frees a request that evhttp has detached, and abort marks the reply as ended.

--- a/libs/net/http_server.cpp
+++ b/libs/net/http_server.cpp
@@ -124,9 +124,16 @@
 
   static void on_close(evhttp_connection* /*conn*/, void* self) {
     auto& state = *static_cast<impl*>(self);
-    if (state.raw != nullptr) {
-      // evhttp frees the request together with the connection after this callback.
-      state.caller_left();
+    evhttp_request* raw = state.raw;
+    if (raw == nullptr) {
+      return;
+    }
+    // evhttp frees the request together with the connection after this callback, unless it took
+    // the request off the connection because its reply is not finished.
+    const bool is_detached = evhttp_request_get_connection(raw) == nullptr;
+    state.caller_left();
+    if (is_detached) {
+      evhttp_request_free(raw);
     }
   }
 
@@ -227,6 +234,9 @@
   evbuffer_add(buf, " ", 1);
   evhttp_send_reply_chunk(raw, buf);
   evbuffer_free(buf);
+  // Nothing more leaves the closed socket; this only lets evhttp free the request with the
+  // connection.
+  evhttp_send_reply_end(raw);
 }
 
 void http_exchange::on_caller_left(std::function<void()> fn) {
--- a/tests/tool/admin_test.cpp
+++ b/tests/tool/admin_test.cpp
@@ -15,7 +15,7 @@
 /// A port on which nothing listens.
 const std::string dead = "127.0.0.1:1";
 
-standin_daemon::handler replies(int status, json body) {
+standin_daemon::handler replies(int status, const json& body) {
   return [status, body](net::http_exchange& it) { it.respond_json(status, body); };
 }
 
