Read the daemon's usage figures, findings and withdrawals as it sends them

Cause: the daemon's operator routes now exist; its usage reply has rows without names, a refused proposal carries findings, and a withdrawal may not be in the store yet. Change: usage show names the columns and covers the last complete window by default, config propose prints the findings, key withdraw says when to repeat it, replies of up to 64 MB are read.

--- a/libs/tool/admin_client.cpp
+++ b/libs/tool/admin_client.cpp
@@ -27,6 +27,10 @@
   return string_field(error_object(reply.body), "executed") == "no";
 }
 
+/// Room for the events that a daemon keeps in memory (8,192 of about 400 bytes) and for a
+/// configuration of 1 MB, with a large margin.
+constexpr std::size_t max_reply_bytes = 64UL * 1024 * 1024;
+
 std::string describe(const net::address& target, std::string_view what) {
   return to_string(target) + ": " + std::string(what);
 }
@@ -63,6 +67,7 @@
   }
   spec.progress_timeout = options_.timeout;
   spec.total_timeout = options_.timeout;
+  spec.max_body_bytes = max_reply_bytes;
 
   std::optional<net::http_reply> reply;
   std::optional<net::http_failure> failure;
--- a/libs/tool/command_catalogue.cpp
+++ b/libs/tool/command_catalogue.cpp
@@ -214,11 +214,12 @@
       0,
       0,
       "Show the usage of the workspaces.",
-      "Shows the figures of a usage window for each workspace. Figures of the open window still\n"
-      "grow; those of a frozen window never change.",
+      "Shows the frozen figures of a usage window for each workspace and request class. They\n"
+      "never change. Usage that arrived after its own window was frozen is in a later one, with\n"
+      "the number of its own window under late_from, which is 0 otherwise.",
       daemon_options({"window"}),
-      {{"Show the open window", "boragedoor usage show"},
-       {"Show a frozen window", "boragedoor usage show --window=29746"}},
+      {{"Show the last complete window", "boragedoor usage show"},
+       {"Show an earlier window", "boragedoor usage show --window=29746"}},
       {"config show"},
       usage_show};
 }
--- a/libs/tool/config_commands.cpp
+++ b/libs/tool/config_commands.cpp
@@ -105,6 +105,17 @@
   return exit_failed;
 }
 
+/// Reports a refusal with the findings about the document, if the daemon sent any.
+int report_refusal(command_context& context, const admin_reply& reply) {
+  const json list = reply.body.is_object() ? reply.body.value("findings", json()) : json();
+  for (const auto& it : list) {
+    context.err << "  " << string_field(it, "key").value_or("$") << ": "
+                << string_field(it, "problem").value_or("refused") << "; "
+                << string_field(it, "remedy").value_or("") << '\n';
+  }
+  return fail(context, to_error(reply));
+}
+
 int report_accepted(command_context& context, const json& body, const std::string& proposal) {
   if (FLAGS_json) {
     context.out << to_text(body) << '\n';
@@ -135,7 +146,7 @@
     return report_conflict(context, reply.value());
   }
   if (status < 200 || status >= 300 || !body.is_object()) {
-    return fail(context, to_error(reply.value()));
+    return report_refusal(context, reply.value());
   }
   return report_accepted(context, body, next.proposal_id);
 }
--- a/libs/tool/flags.cpp
+++ b/libs/tool/flags.cpp
@@ -17,7 +17,8 @@
              "Revision that the proposal is based on; -1 takes the revision in the document.");
 DEFINE_bool(dry_run, false, "Show the changes against the accepted configuration and stop.");
 DEFINE_string(workspace, "", "Show only what belongs to this workspace.");
-DEFINE_string(window, "", "Usage window by its number. Without it the open window is shown.");
+DEFINE_string(window, "",
+              "Number of a usage window. Without it the last complete window is shown.");
 DEFINE_string(file, "", "Event files in JSON lines, separated by commas; - is standard input.");
 DEFINE_string(request, "", "Show only events of this request.");
 DEFINE_string(endpoint, "", "Show only events of this endpoint.");
--- a/libs/tool/key_commands.cpp
+++ b/libs/tool/key_commands.cpp
@@ -80,11 +80,15 @@
     return fail(context, reply.error());
   }
   const json& body = reply.value();
+  const bool durable = bool_field(body, "durable").value_or(false);
+  if (!durable) {
+    context.err << "boragedoor: the store does not have the withdrawal yet; repeat the command "
+                   "until it does\n";
+  }
   if (FLAGS_json) {
     context.out << to_text(body) << '\n';
     return exit_ok;
   }
-  const bool durable = bool_field(body, "durable").value_or(false);
   const json holders = body.is_object() ? body.value("holders", json()) : json();
   context.out << "withdrawn: " << id << "; known to " << format_value(holders)
               << " instances, the store " << (durable ? "has it" : "does not have it yet") << '\n';
--- a/tests/tool/admin_test.cpp
+++ b/tests/tool/admin_test.cpp
@@ -125,6 +125,14 @@
     CHECK(result.err.find("revision 9") != std::string::npos);
     CHECK(result.err.find("  workspace \"a\" added\n  plain\n") != std::string::npos);
   }
+  SECTION("shows the findings of the daemon") {
+    const json finding = {{"key", "$.team"}, {"problem", "missing"}, {"remedy", "add the field"}};
+    standin_daemon it(daemon(
+        400, {{"error", {{"code", "invalid_request"}}}, {"findings", json::array({finding})}}));
+    const auto result = propose(it.target());
+    CHECK(result.status == exit_failed);
+    CHECK(result.err.find("  $.team: missing; add the field\n") != std::string::npos);
+  }
   SECTION("names the proposal when its outcome is unknown") {
     standin_daemon it([](net::http_exchange& exchange) {
       if (exchange.request().method == "GET") {
@@ -188,9 +196,23 @@
     const auto it = ask({"key", "withdraw", "0123456789abcdef"}, 200,
                         {{"key_id", "0123456789abcdef"}, {"holders", 2}, {"durable", false}},
                         "DELETE /admin/keys/0123456789abcdef");
+    CHECK(it.err.find("repeat the command") != std::string::npos);
     CHECK(it.out == "withdrawn: 0123456789abcdef; known to 2 instances, the store does not have it "
                     "yet\n");
   }
+  SECTION("name the figures of a usage window") {
+    const json row = {"intake", "part-history", 0, 12, 340, 56, 7800};
+    const auto reply = [](const json& figures) {
+      const json shard = {{"shard", 1}, {"figures", json::array({figures})}};
+      return json{{"window", 29}, {"shards", json::array({shard})}};
+    };
+    const auto it =
+        ask({"usage", "show", "--json", "--window=29"}, 200, reply(row), "GET /admin/usage");
+    REQUIRE(it.status == exit_ok);
+    CHECK(json::parse(it.out)["usage"][0]["prompt_tokens"] == 340);
+    CHECK(ask({"usage", "show"}, 200, reply({"intake", 1}), "GET /admin/usage").status ==
+          exit_failed);
+  }
   SECTION("list the keys of one workspace") {
     const json body = {
         {"keys", {{{"key_id", "k1"}, {"workspace", "a"}}, {{"key_id", "k2"}, {"workspace", "b"}}}}};
