--- a/tests/daemon/test_cluster.cpp
+++ b/tests/daemon/test_cluster.cpp
@@ -274,15 +274,18 @@
 }
 
 bool test_cluster::await_shards() {
-  return await([&] {
+  constexpr std::size_t usage_shards = 8;
+  constexpr std::size_t trainers = 1;
+  const auto wanted = usage_shards + trainers + static_cast<std::size_t>(options_.data_centres);
+  const bool reached = await([&] {
     std::size_t held = 0;
     for (const json& row : operate(0, "GET", "/admin/instances").value()["instances"]) {
       held += row.contains("shards") ? row["shards"].size() : 0;
     }
-    constexpr std::size_t usage_shards = 8;
-    constexpr std::size_t trainers = 1;
-    return held == usage_shards + trainers + static_cast<std::size_t>(options_.data_centres);
+    return held == wanted;
   });
+  UNSCOPED_INFO(operate(0, "GET", "/admin/instances").body);
+  return reached;
 }
 
 } // namespace boragedoor::testing
--- a/tests/daemon/test_cluster.h
+++ b/tests/daemon/test_cluster.h
@@ -50,6 +50,12 @@
 
 /// Stand-ins and instances in one process and on one event loop. All ports are free ones.
 class test_cluster {
+private:
+  // Declared first, because everything else needs the loop until it is destroyed.
+  cluster_options options_;
+  std::unique_ptr<net::event_loop> loop_;
+  std::unique_ptr<net::http_client> http_;
+
 public:
   explicit test_cluster(const cluster_options& options = {});
   ~test_cluster();
@@ -113,9 +119,6 @@
   [[nodiscard]] settings::daemon_settings settings_for(const std::string& id, int n) const;
   void create_endpoints();
 
-  cluster_options options_;
-  std::unique_ptr<net::event_loop> loop_;
-  std::unique_ptr<net::http_client> http_;
   std::vector<running_instance> instances_;
 };
 
