Admission: keep 2% of the places free for interactive requests, not 10%

Cause: under a greedy workspace the engines saturate, and the tenth that rollouts leave free costs 4% of the tokens. Change: interactive_reserve 0.1 -> 0.02, which still rounds up to one place of an instance.

--- a/libs/admission/admission_controller.h
+++ b/libs/admission/admission_controller.h
@@ -60,7 +60,7 @@
   priority_options priority{};
   queue_options queue{};
   /// Share of the places that rollouts leave free for interactive requests.
-  double interactive_reserve = 0.1;
+  double interactive_reserve = 0.02;
   /// Pauses of one rollout; after them it runs to its end.
   int most_pauses = 2;
   /// A rollout runs at least this long before it may be paused, so that moves stay cheap.
