--- a/libs/daemon/trainer_gateway.cpp
+++ b/libs/daemon/trainer_gateway.cpp
@@ -163,7 +163,7 @@
                       max_wait_ms)
            : default_wait_ms;
   const auto number = trainers_.poll_batch(
-      trainer, step, after, milliseconds(wait_ms), [exchange, step](const batch_answer& it) {
+      trainer, step, after, milliseconds(wait_ms), [exchange](const batch_answer& it) {
         switch (it.kind) {
         case ledger::batch_reply_kind::batch:
           exchange->respond(200, {{"Content-Type", "application/json"}}, it.content);
@@ -172,8 +172,8 @@
           exchange->respond(204, {}, "");
           return;
         case ledger::batch_reply_kind::complete:
-          exchange->respond_json(
-              200, {{"step", step}, {"samples", json::array()}, {"step_complete", true}});
+          // Nothing follows; the header tells this from a wait that ended without a batch.
+          exchange->respond(204, {{"x-step-complete", "true"}}, "");
           return;
         case ledger::batch_reply_kind::refused:
           respond_error(*exchange, error_of(it.reason));
--- a/libs/daemon/trainer_task.cpp
+++ b/libs/daemon/trainer_task.cpp
@@ -369,6 +369,7 @@
     ledger::sample_result sample;
     sample.attempt = attempt;
     sample.text = done.text;
+    sample.finish_reason = done.finish_reason;
     sample.weight_versions = done.weight_versions;
     context_.loop.post([this, step, sample = std::move(sample)] {
       if (auto* ledger = find(step)) {
--- a/libs/ledger/batch_builder.cpp
+++ b/libs/ledger/batch_builder.cpp
@@ -28,6 +28,7 @@
       {"attempt", std::to_string(it.attempt.token) + "." + std::to_string(it.attempt.attempt)}};
   if (it.error.empty()) {
     value["text"] = it.text;
+    value["finish_reason"] = it.finish_reason;
     value["weight_versions"] = distinct(it.weight_versions);
   } else {
     value["error"] = it.error;
