--- a/tests/control/control_property_test.cpp
+++ b/tests/control/control_property_test.cpp
@@ -13,10 +13,12 @@
   const auto time = [](int low, int high) {
     return rc::gen::map(rc::gen::inRange(low, high), [](int n) { return milliseconds(n); });
   };
-  return rc::gen::build<fault>(rc::gen::set(&fault::kind, kind),
-                               rc::gen::set(&fault::process, rc::gen::inRange<std::size_t>(0, 3)),
-                               rc::gen::set(&fault::at, time(0, 60000)),
-                               rc::gen::set(&fault::length, time(100, 20000)));
+  // Without the fixed size the first cases would draw only the first kinds and the shortest times.
+  return rc::gen::resize(
+      100, rc::gen::build<fault>(rc::gen::set(&fault::kind, kind),
+                                 rc::gen::set(&fault::process, rc::gen::inRange<std::size_t>(0, 3)),
+                                 rc::gen::set(&fault::at, time(0, 60000)),
+                                 rc::gen::set(&fault::length, time(100, 20000))));
 }
 
 struct totals {
--- a/tests/control/control_world.cpp
+++ b/tests/control/control_world.cpp
@@ -253,6 +253,11 @@
   }
   if (p->pause_next_send && it.what.handling == token_handling::ignores) {
     p->paused_until = now_ + *p->pause_next_send;
+    if (flip(0.3)) {
+      const auto n =
+          static_cast<std::size_t>(std::ranges::find(processes_, p) - processes_.begin());
+      at(*p->pause_next_send + milliseconds(5), [this, p, n] { stop_process(p, n, seconds(30)); });
+    }
     p->pause_next_send.reset();
   }
   // Nothing is checked between here and the write.
@@ -264,7 +269,10 @@
                                 const send_order& it) {
   const auto answered = std::make_shared<bool>(false);
   const bool is_lost = is_active(fault_kind::lose_messages) && flip(0.5);
-  at(random(milliseconds(1), longest_flight), [this, p, shard, it, answered, is_lost] {
+  // Half of the messages take nearly the longest time, which is where a short wait fails.
+  const duration flight =
+      random(flip(0.5) ? longest_flight - milliseconds(100) : milliseconds(1), longest_flight);
+  at(flight, [this, p, shard, it, answered, is_lost] {
     arrive(p, shard, it);
     if (!is_lost) {
       deliver(p, milliseconds(5), [this, p, shard, it, answered] {
@@ -275,7 +283,9 @@
       });
     }
   });
-  deliver(p, attempt_timeout, [this, p, shard, it, answered] {
+  // A connection may break while its bytes are still on their way.
+  const duration failure = is_lost ? random(milliseconds(5), attempt_timeout) : attempt_timeout;
+  deliver(p, failure, [this, p, shard, it, answered] {
     if (!std::exchange(*answered, true)) {
       carry_out(p, shard, p->tasks[shard].gate->on_attempt_failed(it.what.id, local(*p)));
     }
