--- a/tests/replication/replica_test.cpp
+++ b/tests/replication/replica_test.cpp
@@ -143,7 +143,10 @@
   CHECK_FALSE(decode(to_cbor({{"a", 1}})));
   testing::check_property("hostile bytes", [](const std::string& bytes) {
     const auto it = decode(bytes);
-    RC_ASSERT(!it || decode(encode(it.value())).value() == it.value());
+    // RC_ASSERT evaluates both sides of ||, so the condition stands outside.
+    if (it) {
+      RC_ASSERT(decode(encode(it.value())).value() == it.value());
+    }
   });
 }
 
