--- a/libs/base/cas_write.cpp
+++ b/libs/base/cas_write.cpp
@@ -68,7 +68,6 @@
     return std::nullopt;
   }
   if (result.outcome == write_outcome::unknown) {
-    in_doubt_ = true;
     wait(now, true);
     return std::nullopt;
   }
--- a/libs/base/cas_write.h
+++ b/libs/base/cas_write.h
@@ -83,8 +83,6 @@
   [[nodiscard]] const std::string& found() const { return found_; }
   /// Whether the outcome had to be read back.
   [[nodiscard]] bool read_back() const { return read_back_; }
-  /// Whether the present call is the write itself and not a read of its outcome.
-  [[nodiscard]] bool in_doubt() const { return in_doubt_; }
 
 private:
   store_call write(store_caller& caller);
@@ -103,7 +101,6 @@
   std::optional<time_point> retry_at_;
   bool read_next_ = false;
   bool read_back_ = false;
-  bool in_doubt_ = false;
 };
 
 } // namespace boragedoor
