--- a/libs/bench/measurement.cpp
+++ b/libs/bench/measurement.cpp
@@ -57,7 +57,7 @@
   useful_ += it.tokens;
   if (it.kind == request_kind::chat) {
     chat_ms_.push_back(ms);
-  } else {
+  } else if (now <= end_) {
     rollout_tokens_ += it.tokens;
   }
 }
--- a/libs/bench/measurement.h
+++ b/libs/bench/measurement.h
@@ -50,7 +50,10 @@
 /// Collects what happens during one run.
 class measurement {
 public:
-  explicit measurement(std::size_t workspaces) : tokens_(workspaces), lookups_(workspaces) {}
+  /// Throughput counts up to `end`, when arrivals end: what is worked off later would favour
+  /// whoever has the longest queue.
+  measurement(std::size_t workspaces, time_point end)
+      : end_(end), tokens_(workspaces), lookups_(workspaces) {}
 
   void arrived(const arrival& it);
   void ended(const arrival& it, ending how, time_point now);
@@ -79,6 +82,7 @@
   static double worst_share(const std::vector<account>& accounts, const deployment& where,
                             double capacity);
 
+  time_point end_;
   std::vector<account> tokens_;
   std::vector<account> lookups_;
   std::vector<group> groups_;
--- a/libs/bench/simulation.cpp
+++ b/libs/bench/simulation.cpp
@@ -20,7 +20,8 @@
 } // namespace
 
 simulation::simulation(const simulation_options& options)
-    : options_(options), results_(options.where.workspaces.size()),
+    : options_(options),
+      results_(options.where.workspaces.size(), time_point{options.workload.length}),
       endpoints_(events_, options_.where, options.workload.seed), around_{
                                                                       events_,
                                                                       endpoints_,
