--- a/libs/bench/decisions.cpp
+++ b/libs/bench/decisions.cpp
@@ -39,7 +39,7 @@
   }
   if (options.parts.retry) {
     BOOST_OUTCOME_TRY(retry, retry::retry_policy::create({}));
-    out.retry_ = std::move(retry);
+    out.retry_ = retry;
     BOOST_OUTCOME_TRY(hedges, retry::hedge_policy::create({}));
     out.hedges_ = std::move(hedges);
   }
--- a/libs/bench/workload.cpp
+++ b/libs/bench/workload.cpp
@@ -99,8 +99,10 @@
         std::uniform_int_distribution<duration::rep>(0, step_period.count())(random);
     double due = 0;
     for (time_point at{duration(offset)}; at < end; at += step_period) {
-      for (due += groups; due >= 1; due -= 1) {
+      due += groups;
+      while (due >= 1) {
         group(workspace, at, random);
+        due -= 1;
       }
     }
   }
--- a/libs/retry/retry_policy.h
+++ b/libs/retry/retry_policy.h
@@ -13,8 +13,9 @@
 struct retry_options {
   /// Retries earned by each success.
   double budget_fraction = 0.1;
-  /// Retries that may be saved up, and the stock at the start.
-  double largest_budget = 20;
+  /// Retries that may be saved up, and the stock at the start. Covers the streams that one instance
+  /// of five loses with a data centre of four engines (4 * 32 / 5 = 26), and as many again.
+  double largest_budget = 50;
   /// Attempts of one request, the first included.
   int largest_attempts = 4;
   /// Full jitter: the delay before retry k is uniform in 0 .. min(longest, base * 2^(k-1)).
