--- a/libs/usage/usage_documents.cpp
+++ b/libs/usage/usage_documents.cpp
@@ -171,7 +171,8 @@
 }
 
 std::string report_body(const frozen_window& it) {
-  json rows = json::array();
+  json figures_rows = json::array();
+  json late_rows = json::array();
   for (const auto& [key, figures] : total(it.included)) {
     json row = {{"workspace", key.workspace},
                 {"class", key.request_class},
@@ -179,15 +180,18 @@
                 {"prompt_tokens", figures.prompt_tokens},
                 {"completion_tokens", figures.completion_tokens},
                 {"endpoint_us", figures.endpoint_us}};
-    if (key.late_from != 0) {
+    if (key.late_from == 0) {
+      figures_rows.push_back(std::move(row));
+    } else {
       row["late_from"] = key.late_from;
+      late_rows.push_back(std::move(row));
     }
-    rows.push_back(std::move(row));
   }
   return boragedoor::to_text(json{{"report_id", it.report_id},
                                   {"window", it.window},
                                   {"shard", it.shard},
-                                  {"usage", std::move(rows)}});
+                                  {"figures", std::move(figures_rows)},
+                                  {"late", std::move(late_rows)}});
 }
 
 } // namespace boragedoor::usage
--- a/tests/daemon/test_cluster.cpp
+++ b/tests/daemon/test_cluster.cpp
@@ -1,5 +1,6 @@
 #include "daemon/test_cluster.h"
 
+#include <iostream>
 #include <utility>
 
 #include <catch2/catch.hpp>
@@ -196,12 +197,11 @@
           {"models",
            {{{"name", "planner"},
              {"max_tokens", 2048},
-             {"trainers",
-              {{{"name", "tuner"},
-                {"workspace", "north"},
-                {"staleness_bound", 2},
-                {"group_size", 4},
-                {"max_tokens", 1024}}}}}}},
+             {"trainers", json::array({{{"name", "tuner"},
+                                        {"workspace", "north"},
+                                        {"staleness_bound", 2},
+                                        {"group_size", 4},
+                                        {"max_tokens", 1024}}})}}}},
           {"services",
            {{{"name", "records"},
              {"routes",
@@ -285,6 +285,13 @@
     return held == wanted;
   });
   UNSCOPED_INFO(operate(0, "GET", "/admin/instances").body);
+  for (std::size_t n = 0; n < instances_.size(); ++n) {
+    for (const json& row : operate(n, "GET", "/admin/events").value()["events"]) {
+      if (row.contains("shard")) {
+        std::cerr << row.dump() << "\n";
+      }
+    }
+  }
   return reached;
 }
 
--- a/tests/daemon/whole_path_test.cpp
+++ b/tests/daemon/whole_path_test.cpp
@@ -6,7 +6,7 @@
 
 namespace boragedoor::testing {
 
-TEST_CASE("the whole path, from a questionnaire to a usage report") {
+TEST_CASE("the whole path from a questionnaire to a usage report") {
   cluster_options options;
   options.usage_window_ms = 2000;
   test_cluster cluster(options);
