--- a/tests/daemon/test_cluster.cpp
+++ b/tests/daemon/test_cluster.cpp
@@ -1,6 +1,5 @@
 #include "daemon/test_cluster.h"
 
-#include <iostream>
 #include <utility>
 
 #include <catch2/catch.hpp>
@@ -277,22 +276,14 @@
   constexpr std::size_t usage_shards = 8;
   constexpr std::size_t trainers = 1;
   const auto wanted = usage_shards + trainers + static_cast<std::size_t>(options_.data_centres);
-  const bool reached = await([&] {
+  return await([&] {
     std::size_t held = 0;
-    for (const json& row : operate(0, "GET", "/admin/instances").value()["instances"]) {
+    const json rows = operate(0, "GET", "/admin/instances").value()["instances"];
+    for (const json& row : rows) {
       held += row.contains("shards") ? row["shards"].size() : 0;
     }
     return held == wanted;
   });
-  UNSCOPED_INFO(operate(0, "GET", "/admin/instances").body);
-  for (std::size_t n = 0; n < instances_.size(); ++n) {
-    for (const json& row : operate(n, "GET", "/admin/events").value()["events"]) {
-      if (row.contains("shard")) {
-        std::cerr << row.dump() << "\n";
-      }
-    }
-  }
-  return reached;
 }
 
 } // namespace boragedoor::testing
