--- /dev/null
+++ b/libs/scaling/endpoint_scaler.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/result.h"
+#include "base/time.h"
+
+namespace boragedoor::scaling {
+
+enum class capacity_tier { standard, cheap };
+
+/// Wanted number of endpoints: all of the data centre, pool and tier, not those to add.
+struct endpoint_order {
+  std::string data_centre;
+  std::string pool;
+  capacity_tier tier = capacity_tier::standard;
+  int count = 0;
+
+  friend bool operator==(const endpoint_order&, const endpoint_order&) = default;
+};
+
+/// Bounds of a pool in one data centre. The minimum always runs on standard capacity.
+struct data_centre_bounds {
+  std::string data_centre;
+  int minimum = 0;
+  int maximum = 0;
+  int cheap_maximum = 0;
+};
+
+struct pool_plan {
+  std::string pool;
+  std::vector<data_centre_bounds> data_centres;
+  /// Requests that one endpoint runs at once.
+  int concurrency = 1;
+  /// Time from an order until the endpoint serves.
+  duration start_up = seconds(60);
+};
+
+/// What a data centre has of the pool.
+struct data_centre_supply {
+  std::string_view data_centre;
+  /// Ready and starting endpoints.
+  int standard = 0;
+  int cheap = 0;
+  /// The data centre is lost: nothing is ordered there, and others take its part.
+  bool lost = false;
+};
+
+/// What the pool used since the last call.
+struct pool_use {
+  /// Mean number of requests that ran or waited, whatever callers stated.
+  double requests = 0;
+  /// Part of the requests that the loss of their endpoint does not harm, as measured.
+  double harmless_share = 0;
+  std::span<const data_centre_supply> supply;
+  /// The store is down, so that orders cannot be checked against what others ordered.
+  bool store_down = false;
+};
+
+struct scaler_options {
+  /// Wanted share of slots in use.
+  double target_use = 0.7;
+  /// Time constants of measured use and of its trend.
+  duration level_time = seconds(30);
+  duration trend_time = seconds(120);
+  /// Fewer endpoints are ordered only after use was lower for this long, and by this share.
+  duration shrink_delay = seconds(300);
+  double shrink_band = 0.1;
+  /// Endpoints that may be added per pool during one store outage, as a share of those before it.
+  double outage_growth = 0.25;
+  /// Part of the harmless use that cheaper capacity may carry: the rest absorbs error in its share.
+  double cheap_fill = 0.9;
+  /// At most this share of a pool's endpoints is cheaper capacity of one data centre.
+  double reclaim_share = 0.2;
+  /// How long cheaper capacity may stay away before standard capacity takes its place, the share of
+  /// it that is replaced then, and the time until it is asked for again.
+  duration fallback_delay = seconds(90);
+  double fallback_share = 1;
+  duration cheap_retry = seconds(300);
+};
+
+/// Decides how many endpoints of a pool run where, from measured use.
+class endpoint_scaler {
+public:
+  /// Fails with `invalid_argument` on shares outside 0..1, empty pools or bounds out of order.
+  static result<endpoint_scaler> create(const scaler_options& options, const pool_plan& plan);
+
+  /// Takes measured use and returns the wanted counts that changed. The first call returns all.
+  std::vector<endpoint_order> decide(const pool_use& use, time_point now);
+  /// The platform reclaimed cheaper endpoints of the data centre, or has none to give.
+  void cheap_unavailable(std::string_view data_centre, time_point now);
+
+  /// Endpoints that measured use and its trend call for, before bounds.
+  [[nodiscard]] int wanted() const { return wanted_; }
+
+private:
+  struct place {
+    data_centre_bounds bounds;
+    bool lost = false;
+    time_point cheap_retry_at{};
+    time_point cheap_missing_since{};
+    bool cheap_missing = false;
+    int standard = 0;
+    int cheap = 0;
+    int ordered_standard = -1;
+    int ordered_cheap = -1;
+  };
+  struct peak {
+    time_point at;
+    int wanted = 0;
+  };
+  endpoint_scaler(const scaler_options& options, const pool_plan& plan);
+  void take_supply(const pool_use& use, time_point now);
+  void take_use(double requests, time_point now);
+  [[nodiscard]] double forecast() const;
+  int settle(int wanted, time_point now);
+  int limit_outage(int wanted, bool store_down);
+  int spread_cheap(int wanted, double harmless_share, time_point now);
+  void spread_standard(int standard);
+  std::vector<endpoint_order> changes(bool store_down);
+
+  scaler_options options_;
+  pool_plan plan_;
+  std::vector<place> places_;
+  double level_ = 0;
+  double trend_ = 0;
+  time_point measured_{};
+  bool known_ = false;
+  std::deque<peak> peaks_;
+  int wanted_ = 0;
+  int settled_ = 0;
+  int outage_base_ = -1;
+};
+
+} // namespace boragedoor::scaling
