--- a/libs/freshness/sample_freshness.h
+++ b/libs/freshness/sample_freshness.h
@@ -61,8 +61,9 @@
   [[nodiscard]] std::uint64_t minimum_version(std::string_view trainer, duration expected,
                                               time_point now) const;
   [[nodiscard]] sample_decision check(const running_sample& it, time_point now) const;
-  /// Newest version expected at `at`.
-  [[nodiscard]] std::uint64_t version_at(std::string_view trainer, time_point at) const;
+  /// Newest version expected at `at`; publications that are overdue are expected from now on.
+  [[nodiscard]] std::uint64_t version_at(std::string_view trainer, time_point at,
+                                         time_point now) const;
   /// Whether the sample is beyond its bound already.
   [[nodiscard]] bool exceeded(std::string_view trainer, std::uint64_t oldest_version) const;
 
@@ -75,7 +76,10 @@
     int intervals = 0;
   };
   explicit sample_freshness(const sample_freshness_options& options) : options_(options) {}
-  [[nodiscard]] bool fits(std::string_view trainer, std::uint64_t version, time_point end) const;
+  [[nodiscard]] static std::uint64_t expected_version(const trainer_state& it, time_point at,
+                                                      time_point now, double shift);
+  [[nodiscard]] bool fits(const trainer_state& it, std::uint64_t version, duration remaining,
+                          time_point now) const;
 
   sample_freshness_options options_;
   std::map<std::string, trainer_state, std::less<>> trainers_;
--- a/libs/scaling/endpoint_scaler.h
+++ b/libs/scaling/endpoint_scaler.h
@@ -101,42 +101,60 @@
   [[nodiscard]] int wanted() const { return wanted_; }
 
 private:
+  struct counts {
+    int standard = 0;
+    int cheap = 0;
+  };
   struct place {
     data_centre_bounds bounds;
     bool lost = false;
-    time_point cheap_retry_at{};
-    time_point cheap_missing_since{};
+    /// Cheaper capacity is not asked for before `cheap_retry_at`, and then for one endpoint until
+    /// it is there.
     bool cheap_missing = false;
-    int standard = 0;
-    int cheap = 0;
-    int ordered_standard = -1;
-    int ordered_cheap = -1;
+    time_point cheap_retry_at{};
+    counts supply{};
+    counts wanted{};
+    counts ordered{-1, -1};
   };
   struct peak {
     time_point at;
     int wanted = 0;
   };
   endpoint_scaler(const scaler_options& options, const pool_plan& plan);
-  void take_supply(const pool_use& use, time_point now);
-  void take_use(double requests, time_point now);
+  void take_supply(std::span<const data_centre_supply> supply);
+  void take_use(const pool_use& use, time_point now);
   [[nodiscard]] double forecast() const;
-  int settle(int wanted, time_point now);
-  int limit_outage(int wanted, bool store_down);
-  int spread_cheap(int wanted, double harmless_share, time_point now);
-  void spread_standard(int standard);
-  std::vector<endpoint_order> changes(bool store_down);
+  void settle(time_point now);
+  [[nodiscard]] int total() const;
+  /// Cheaper endpoints that the data centre may have at most, and may be ordered there now.
+  [[nodiscard]] int cheap_bound(const place& it, int total) const;
+  [[nodiscard]] int cheap_limit(const place& it, int total, time_point now) const;
+  void spread_cheap(int total, time_point now);
+  [[nodiscard]] int fallback(time_point now);
+  void spread_standard(int count);
+  void change(place& it, capacity_tier tier, bool store_down, std::vector<endpoint_order>& out);
 
   scaler_options options_;
   pool_plan plan_;
   std::vector<place> places_;
+  /// Requests at once, their change per second and the harmless share, all smoothed.
   double level_ = 0;
   double trend_ = 0;
+  double harmless_ = 0;
+  time_point started_{};
   time_point measured_{};
   bool known_ = false;
+  /// What use called for within the last `shrink_delay`.
   std::deque<peak> peaks_;
   int wanted_ = 0;
   int settled_ = 0;
-  int outage_base_ = -1;
+  int cheap_ = 0;
+  /// Cheaper capacity has been short since then.
+  bool cheap_short_ = false;
+  time_point cheap_short_since_{};
+  /// Endpoints that may still be added during the present store outage.
+  bool outage_ = false;
+  int outage_left_ = 0;
 };
 
 } // namespace boragedoor::scaling
