Scaling: apply the shrink band to requests, and count the outage cap from orders

Cause: the steady-load property found a pool of few endpoints that lost and regained one with 15% noise, because among small counts each whole step exceeds a band on counts. The outage cap took the count after the rise for the one before it, so 10 endpoints grew to 15 in place of 13. Change: the band of 15% applies to the highest expected use, the cap counts from the endpoints ordered. The fetch burst is one second's worth or less.

--- a/libs/freshness/weight_rollout.h
+++ b/libs/freshness/weight_rollout.h
@@ -56,7 +56,7 @@
   double most_swapping_share = 0.25;
   /// Rate limit of the weight store, shared by all models, and the fetches it admits at once.
   double fetches_per_second = 150;
-  double fetch_burst = 400;
+  double fetch_burst = 100;
   /// Time an ordinary swap takes. One without an answer counts as failed after `swap_timeout`.
   duration swap_duration = seconds(3);
   duration swap_timeout = seconds(10);
--- a/libs/scaling/endpoint_scaler.cpp
+++ b/libs/scaling/endpoint_scaler.cpp
@@ -94,8 +94,7 @@
     trend_ += weight(passed, options_.trend_time) * (slope - trend_);
   }
   measured_ = now;
-  wanted_ = static_cast<int>(
-      std::ceil(forecast() / (plan_.concurrency * options_.target_use) - rounding));
+  wanted_ = endpoints_for(forecast());
 }
 
 double endpoint_scaler::forecast() const {
@@ -104,19 +103,27 @@
   return level_ + std::max(0.0, trend_) * to_seconds(plan_.start_up + options_.level_time);
 }
 
+int endpoint_scaler::endpoints_for(double requests) const {
+  return static_cast<int>(
+      std::ceil(requests / (plan_.concurrency * options_.target_use) - rounding));
+}
+
 void endpoint_scaler::settle(time_point now) {
-  peaks_.push_back({now, wanted_});
+  peaks_.push_back({now, forecast()});
   while (now - peaks_.front().at > options_.shrink_delay) {
     peaks_.pop_front();
   }
-  const int highest =
+  const double highest =
       std::max_element(peaks_.begin(), peaks_.end(), [](const peak& left, const peak& right) {
-        return left.wanted < right.wanted;
-      })->wanted;
-  const bool seen_long = now - started_ >= options_.shrink_delay;
-  const bool far_below = highest <= settled_ * (1 - options_.shrink_band);
-  if (wanted_ > settled_ || (seen_long && far_below)) {
-    settled_ = std::max(wanted_, highest);
+        return left.requests < right.requests;
+      })->requests;
+  // The band applies to requests: among small counts, each step is more than the band, and one
+  // endpoint would come and go with the noise.
+  const int enough = endpoints_for(highest * (1 + options_.shrink_band));
+  if (wanted_ > settled_) {
+    settled_ = wanted_;
+  } else if (now - started_ >= options_.shrink_delay && enough < settled_) {
+    settled_ = enough;
   }
 }
 
@@ -130,6 +137,14 @@
   return std::clamp(settled_, least, most);
 }
 
+int endpoint_scaler::ordered() const {
+  int out = 0;
+  for (const place& it : places_) {
+    out += std::max(0, it.ordered.standard) + std::max(0, it.ordered.cheap);
+  }
+  return out;
+}
+
 int endpoint_scaler::cheap_bound(const place& it, int total) const {
   const int per_reclaim = std::max(1, static_cast<int>(options_.reclaim_share * total + rounding));
   return it.lost ? 0
@@ -236,7 +251,7 @@
   take_use(use, now);
   settle(now);
   if (use.store_down && !outage_) {
-    outage_left_ = std::max(1, static_cast<int>(std::ceil(options_.outage_growth * total())));
+    outage_left_ = std::max(1, static_cast<int>(std::ceil(options_.outage_growth * ordered())));
   }
   outage_ = use.store_down;
   const int all = total();
--- a/libs/scaling/endpoint_scaler.h
+++ b/libs/scaling/endpoint_scaler.h
@@ -70,9 +70,10 @@
   /// Time constants of measured use and of its trend.
   duration level_time = seconds(30);
   duration trend_time = seconds(120);
-  /// Fewer endpoints are ordered only after use was lower for this long, and by this share.
+  /// Fewer endpoints are ordered only when they would carry this share more than the highest use
+  /// of this time.
   duration shrink_delay = seconds(300);
-  double shrink_band = 0.1;
+  double shrink_band = 0.15;
   /// Endpoints that may be added per pool during one store outage, as a share of those before it.
   double outage_growth = 0.25;
   /// Part of the harmless use that cheaper capacity may carry: the rest absorbs error in its share.
@@ -118,14 +119,16 @@
   };
   struct peak {
     time_point at;
-    int wanted = 0;
+    double requests = 0;
   };
   endpoint_scaler(const scaler_options& options, const pool_plan& plan);
   void take_supply(std::span<const data_centre_supply> supply);
   void take_use(const pool_use& use, time_point now);
   [[nodiscard]] double forecast() const;
+  [[nodiscard]] int endpoints_for(double requests) const;
   void settle(time_point now);
   [[nodiscard]] int total() const;
+  [[nodiscard]] int ordered() const;
   /// Cheaper endpoints that the data centre may have at most, and may be ordered there now.
   [[nodiscard]] int cheap_bound(const place& it, int total) const;
   [[nodiscard]] int cheap_limit(const place& it, int total, time_point now) const;
@@ -144,7 +147,7 @@
   time_point started_{};
   time_point measured_{};
   bool known_ = false;
-  /// What use called for within the last `shrink_delay`.
+  /// Expected use within the last `shrink_delay`.
   std::deque<peak> peaks_;
   int wanted_ = 0;
   int settled_ = 0;
