--- a/apps/boragedoor-bench/main.cpp
+++ b/apps/boragedoor-bench/main.cpp
@@ -8,6 +8,7 @@
 
 #include "bench/report.h"
 #include "bench/simulation.h"
+#include "supply_scenario.h"
 
 DEFINE_string(deployment, "sinaltec", "Deployment: sinaltec or threadwell.");
 DEFINE_string(faults, "none",
@@ -71,6 +72,9 @@
 int main(int argc, char** argv) {
   gflags::SetUsageMessage("runs the decision code against naive baselines in virtual time");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
+  if (supply_scenario_chosen() && argc == 1) {
+    return run_supply_scenario();
+  }
   const auto where = bench::find_deployment(FLAGS_deployment);
   if (argc > 1 || !where || FLAGS_hours <= 0) {
     std::cerr << (where ? "unexpected argument, or --hours not positive" : where.error().message)
