Bench supply: leave the mean delivery wait out of checks of running samples

Groups wait on average long before a busy trainer takes them, but it takes the oldest first, so those near the bound wait little. Change: checks reckon with the end of the group, not with the mean wait.

--- a/libs/bench/supply_streams.cpp
+++ b/libs/bench/supply_streams.cpp
@@ -254,7 +254,6 @@
     rest =
         std::max(rest, std::min(expected_rest(it, model, false), expected_rest(it, model, true)));
   }
-  const duration wait = trainer.delivery_wait();
   for (supply_sample& it : group.samples) {
     if (it.oldest_version == 0) {
       continue;
@@ -263,9 +262,9 @@
     const auto decision =
         fresh_.check({.trainer = trainer.plan().name,
                       .oldest_version = it.oldest_version,
-                      .remaining = std::max(rest, expected_rest(it, model, false)) + wait,
-                      .remaining_elsewhere = std::max(rest, expected_rest(it, model, true)) + wait,
-                      .whole = std::max(rest, whole) + wait},
+                      .remaining = std::max(rest, expected_rest(it, model, false)),
+                      .remaining_elsewhere = std::max(rest, expected_rest(it, model, true)),
+                      .whole = std::max(rest, whole)},
                      now_);
     if (decision == freshness::sample_decision::keep) {
       continue;
