Freshness: let as many engines swap at once as the deadline needs

Cause: of 5 to 7 engines of a model a quarter is one, so that waves of 3 s took up to 21 s, over the target's 16 s. Change: the bound is the larger of the share and what ends all waves within the deadline less a reserve of 3 s.

--- a/libs/freshness/weight_rollout.cpp
+++ b/libs/freshness/weight_rollout.cpp
@@ -229,8 +229,12 @@
   const auto ready = std::count_if(engines_.begin(), engines_.end(), [model](const auto& it) {
     return it.second.view.model == model && it.second.view.ready;
   });
-  const double most = std::floor(options_.most_swapping_share * static_cast<double>(ready));
-  return std::max<std::size_t>(1, static_cast<std::size_t>(most));
+  const auto waves =
+      std::max<std::ptrdiff_t>(1, (options_.deadline - options_.reserve) / options_.swap_duration);
+  const std::ptrdiff_t needed = (ready + waves - 1) / waves;
+  const double share = std::floor(options_.most_swapping_share * static_cast<double>(ready));
+  return static_cast<std::size_t>(
+      std::max({std::ptrdiff_t{1}, needed, static_cast<std::ptrdiff_t>(share)}));
 }
 
 bool weight_rollout::complete(std::string_view model) const {
--- a/libs/freshness/weight_rollout.h
+++ b/libs/freshness/weight_rollout.h
@@ -51,9 +51,13 @@
 using rollout_action = std::variant<swap_order, roll_back_order, set_aside_order>;
 
 struct weight_rollout_options {
-  /// At most this share of a model's ready engines swaps at once, but always one. A swap of 3 s
-  /// in four waves leaves 4 s of the 16 s that the target allows.
+  /// At most this share of a model's ready engines swaps at once, or what the deadline needs, if
+  /// that is more, as it is for models with few engines.
   double most_swapping_share = 0.25;
+  /// Time until all engines have a new version: the target's 16 s, and the part of it that is left
+  /// for the weight store and for decisions between swaps.
+  duration deadline = seconds(16);
+  duration reserve = seconds(3);
   /// Rate limit of the weight store, shared by all models, and the fetches it admits at once.
   double fetches_per_second = 150;
   double fetch_burst = 100;
@@ -89,7 +93,7 @@
 
   [[nodiscard]] std::uint64_t newest(std::string_view model) const;
   [[nodiscard]] std::size_t swapping(std::string_view model) const;
-  /// Engines of the model that may swap at once.
+  /// Engines of the model that may swap at once, so that waves of them end before the deadline.
   [[nodiscard]] std::size_t bound(std::string_view model) const;
   [[nodiscard]] bool complete(std::string_view model) const;
 
