--- a/libs/bench/supply_simulation.h
+++ b/libs/bench/supply_simulation.h
@@ -79,6 +79,7 @@
   void start_chats();
   void start_samples();
   bool start_sample(const sample_ref& ref);
+  [[nodiscard]] bool due(const supply_engine& it) const;
   [[nodiscard]] std::size_t choose_engine(std::size_t model, std::uint64_t minimum_version,
                                           bool is_chat, std::size_t excluded) const;
   void leave_engine(supply_sample& it);
--- a/libs/bench/supply_streams.cpp
+++ b/libs/bench/supply_streams.cpp
@@ -132,6 +132,11 @@
   std::erase_if(chats_, [](const chat& it) { return it.done >= it.what.tokens; });
 }
 
+bool supply_simulation::due(const supply_engine& it) const {
+  const auto* waves = std::get_if<freshness::weight_rollout>(&weights_);
+  return waves != nullptr && waves->due(it.id);
+}
+
 std::size_t supply_simulation::choose_engine(std::size_t model, std::uint64_t minimum_version,
                                              bool is_chat, std::size_t excluded) const {
   const auto& all = fleet_.engines();
@@ -143,7 +148,11 @@
     const bool fits = it.model == model && it.state == supply_state::ready && it.serves() &&
                       it.version >= minimum_version && it.running() < slots && i != excluded &&
                       !(is_chat && cheap);
-    if (fits && (chosen == no_engine || it.running() < all[chosen].running())) {
+    const auto cost = [&](std::size_t n) {
+      // Chats are short: where weights are about to be loaded they would stand still.
+      return std::pair(is_chat && due(all[n]), all[n].running());
+    };
+    if (fits && (chosen == no_engine || cost(i) < cost(chosen))) {
       chosen = i;
     }
   }
--- a/libs/freshness/weight_rollout.cpp
+++ b/libs/freshness/weight_rollout.cpp
@@ -237,6 +237,12 @@
       std::max({std::ptrdiff_t{1}, needed, static_cast<std::ptrdiff_t>(share)}));
 }
 
+bool weight_rollout::due(std::string_view id) const {
+  const auto it = engines_.find(id);
+  return it != engines_.end() &&
+         (it->second.loading != 0 || it->second.view.version < newest(it->second.view.model));
+}
+
 bool weight_rollout::complete(std::string_view model) const {
   const std::uint64_t target = newest(model);
   return std::none_of(engines_.begin(), engines_.end(), [model, target](const auto& it) {
--- a/libs/freshness/weight_rollout.h
+++ b/libs/freshness/weight_rollout.h
@@ -95,6 +95,9 @@
   [[nodiscard]] std::size_t swapping(std::string_view model) const;
   /// Engines of the model that may swap at once, so that waves of them end before the deadline.
   [[nodiscard]] std::size_t bound(std::string_view model) const;
+  /// Whether the engine loads weights or will before the rollout is complete. Short work is better
+  /// started elsewhere: it would stand still during the load.
+  [[nodiscard]] bool due(std::string_view id) const;
   [[nodiscard]] bool complete(std::string_view model) const;
 
 private:
