--- a/libs/bench/supply_simulation.cpp
+++ b/libs/bench/supply_simulation.cpp
@@ -137,7 +137,7 @@
         [&](auto& policy) {
           if (it.load_fails) {
             policy.put({it.id, options_.plan.where.data_centres[it.data_centre],
-                        options_.plan.models[it.model], it.version, it.running(), it.chats, true});
+                        options_.plan.models[it.model], it.version, it.running(), true});
             policy.swap_failed(it.id, now_, random_);
           } else {
             policy.swap_finished(it.id, it.version);
@@ -178,7 +178,7 @@
         policy.remove(it.id);
       } else {
         policy.put({it.id, plan.where.data_centres[it.data_centre], plan.models[it.model],
-                    it.version, it.running(), it.chats, it.state == supply_state::ready});
+                    it.version, it.running(), it.state == supply_state::ready});
       }
     }
     const auto load = [&](const std::string& engine, std::uint64_t version) {
--- a/libs/freshness/weight_rollout.cpp
+++ b/libs/freshness/weight_rollout.cpp
@@ -11,11 +11,6 @@
   return std::chrono::duration<double>(it).count();
 }
 
-// What a swap holds up: interactive work counts before all other.
-std::pair<int, int> work_of(const engine_view& it) {
-  return {it.interactive, it.running};
-}
-
 } // namespace
 
 weight_rollout::weight_rollout(const weight_rollout_options& options)
@@ -170,7 +165,7 @@
   for (auto& [name, list] : waiting) {
     // The least loaded is last, where it is taken from.
     std::stable_sort(list.begin(), list.end(), [](const engine* left, const engine* right) {
-      return work_of(left->view) > work_of(right->view);
+      return left->view.running > right->view.running;
     });
   }
   const std::size_t most = bound(model);
@@ -181,8 +176,8 @@
         waiting.begin(), waiting.end(), [&places](const auto& left, const auto& right) {
           const data_centre_use& a = places[left.first];
           const data_centre_use& b = places[right.first];
-          return std::pair(a.swapping / a.engines, work_of(left.second.back()->view)) <
-                 std::pair(b.swapping / b.engines, work_of(right.second.back()->view));
+          return std::pair(a.swapping / a.engines, left.second.back()->view.running) <
+                 std::pair(b.swapping / b.engines, right.second.back()->view.running);
         });
     order(*chosen->second.back(), now, out);
     places[chosen->first].swapping += 1;
--- a/libs/freshness/weight_rollout.h
+++ b/libs/freshness/weight_rollout.h
@@ -23,8 +23,6 @@
   std::uint64_t version = 0;
   /// Requests in its running batch.
   int running = 0;
-  /// Those among them that a person waits for.
-  int interactive = 0;
   /// Starting and draining engines are not swapped and do not count towards the bound.
   bool ready = true;
 };
@@ -76,8 +74,7 @@
 };
 
 /// Decides which engines load new weights now. Waves go over all data centres evenly and take the
-/// engines with the least interactive work first, and of these the least loaded. A newer version
-/// replaces older ones that still wait.
+/// least loaded engines first. A newer version replaces older ones that still wait.
 class weight_rollout {
 public:
   /// Fails with `invalid_argument` on a share outside 0..1, rates or times that are not positive.
