Freshness: limit open groups so that complete ones wait little

Change: start_limit lowers the open groups of a trainer while complete ones wait over 20 s for it, and raises them while it idles. The scaler still counts samples that are held back.

--- a/apps/boragedoor-bench/supply_scenario.cpp
+++ b/apps/boragedoor-bench/supply_scenario.cpp
@@ -22,7 +22,7 @@
               "store_outage, stragglers.");
 DEFINE_string(supply_parts, "all",
               "Decisions of the supply scenario that follow the policy in the first column: all, "
-              "or a comma-separated list of rollout, freshness, order and scaler.");
+              "or a comma-separated list of rollout, freshness, order, start and scaler.");
 
 namespace boragedoor {
 
@@ -78,10 +78,10 @@
   }
   std::vector<bench::named_supply_figures> runs;
   const bench::supply_parts chosen{listed("rollout"), listed("freshness"), listed("order"),
-                                   listed("scaler")};
+                                   listed("start"), listed("scaler")};
   for (const auto& [name, parts] :
        {std::pair(FLAGS_supply_parts == "all" ? std::string("policy") : FLAGS_supply_parts, chosen),
-        std::pair(std::string("naive"), bench::supply_parts{false, false, false, false})}) {
+        std::pair(std::string("naive"), bench::supply_parts{false, false, false, false, false})}) {
     auto values = run(parts);
     if (!values) {
       std::cerr << values.error().message << "\n";
--- a/libs/bench/supply_model.h
+++ b/libs/bench/supply_model.h
@@ -17,6 +17,7 @@
   bool weight_rollout = true;
   bool sample_freshness = true;
   bool group_order = true;
+  bool start_limit = true;
   bool scaler = true;
 };
 
--- a/libs/bench/supply_simulation.cpp
+++ b/libs/bench/supply_simulation.cpp
@@ -34,10 +34,12 @@
 } // namespace
 
 supply_simulation::supply_simulation(const supply_options& options, rollout weights,
-                                     freshness::sample_freshness fresh)
+                                     freshness::sample_freshness fresh,
+                                     freshness::start_limit starts)
     : options_(options), weights_(std::move(weights)), fresh_(std::move(fresh)),
-      fleet_(options.plan, options.faults, options.seed), random_(options.seed),
-      newest_(options.plan.models.size(), 1), pending_(options.plan.models.size()),
+      starts_(std::move(starts)), fleet_(options.plan, options.faults, options.seed),
+      random_(options.seed), newest_(options.plan.models.size(), 1),
+      pending_(options.plan.models.size()),
       arrivals_(draw_chats(options.plan, options.seed, options.length)),
       use_(options.plan.models.size()) {
   for (std::size_t i = 0; i < options.plan.trainers.size(); ++i) {
@@ -60,8 +62,9 @@
     weights = std::move(waves);
   }
   BOOST_OUTCOME_TRY(fresh, freshness::sample_freshness::create({}));
+  BOOST_OUTCOME_TRY(starts, freshness::start_limit::create({}));
   auto out = std::unique_ptr<supply_simulation>(
-      new supply_simulation(options, std::move(weights), std::move(fresh)));
+      new supply_simulation(options, std::move(weights), std::move(fresh), std::move(starts)));
   BOOST_OUTCOME_TRY(out->add_scalers());
   return out;
 }
@@ -98,10 +101,7 @@
   run_samples();
   run_chats();
   for (supply_trainer& it : trainers_) {
-    if (it.train(newest_[it.plan().model], now_, tick)) {
-      publish(it.plan().model);
-    }
-    it.submit(now_);
+    train(it);
   }
   roll_out();
   if (options_.parts.sample_freshness && ticks_ % check_ticks == 0) {
@@ -118,6 +118,18 @@
   charge();
 }
 
+void supply_simulation::train(supply_trainer& it) {
+  if (it.train(newest_[it.plan().model], now_, tick)) {
+    publish(it.plan().model);
+  }
+  if (const auto complete = it.take_last()) {
+    starts_.taken(it.plan().name, *complete, now_);
+  } else if (it.idle()) {
+    starts_.idle(it.plan().name, tick);
+  }
+  it.submit(now_);
+}
+
 void supply_simulation::publish(std::size_t model) {
   newest_[model] += 1;
   pending_[model].push_back({newest_[model], now_});
--- a/libs/bench/supply_simulation.h
+++ b/libs/bench/supply_simulation.h
@@ -13,6 +13,7 @@
 #include "bench/supply_trainer.h"
 #include "freshness/naive_weight_rollout.h"
 #include "freshness/sample_freshness.h"
+#include "freshness/start_limit.h"
 #include "freshness/weight_rollout.h"
 #include "scaling/endpoint_scaler.h"
 
@@ -60,7 +61,8 @@
   };
 
   supply_simulation(const supply_options& options, rollout weights,
-                    freshness::sample_freshness fresh);
+                    freshness::sample_freshness fresh, freshness::start_limit starts);
+  void train(supply_trainer& it);
   result<void> add_scalers();
   void step();
 
@@ -78,6 +80,7 @@
   void run_chats();
   void start_chats();
   void start_samples();
+  [[nodiscard]] bool may_start(const sample_ref& ref);
   bool start_sample(const sample_ref& ref);
   [[nodiscard]] bool due(const supply_engine& it) const;
   [[nodiscard]] std::size_t choose_engine(std::size_t model, std::uint64_t minimum_version,
@@ -97,6 +100,7 @@
   supply_options options_;
   rollout weights_;
   freshness::sample_freshness fresh_;
+  freshness::start_limit starts_;
   std::vector<scaling::endpoint_scaler> scalers_;
   supply_fleet fleet_;
   random_engine random_;
--- a/libs/bench/supply_streams.cpp
+++ b/libs/bench/supply_streams.cpp
@@ -198,6 +198,17 @@
   return true;
 }
 
+bool supply_simulation::may_start(const sample_ref& ref) {
+  supply_trainer& trainer = trainers_[ref.trainer];
+  const auto& groups = trainer.groups();
+  if (!options_.parts.start_limit || groups[ref.group].started) {
+    return true;
+  }
+  const auto open = std::count_if(groups.begin(), groups.end(),
+                                  [](const supply_group& it) { return it.started; });
+  return open < starts_.limit(trainer.plan().name);
+}
+
 void supply_simulation::start_samples() {
   std::vector<sample_ref> refs;
   std::vector<freshness::waiting_sample> waiting;
@@ -226,6 +237,9 @@
                                                 : freshness::naive_group_order(waiting);
   for (const std::size_t i : order) {
     const std::size_t model = trainers_[refs[i].trainer].plan().model;
+    if (!may_start(refs[i])) {
+      continue;
+    }
     if (!full[model] && !start_sample(refs[i])) {
       // Others may do with older weights, unless no slot is free at all.
       full[model] = choose_engine(model, 0, false, no_engine) == no_engine;
--- a/libs/bench/supply_trainer.cpp
+++ b/libs/bench/supply_trainer.cpp
@@ -64,6 +64,7 @@
   sums_.groups += 1;
   sums_.staleness += static_cast<double>(staleness);
   sums_.worst_staleness = std::max(sums_.worst_staleness, staleness);
+  last_taken_ = it.complete;
   wait_seconds_ += wait_weight * (to_seconds(now - *it.complete) - wait_seconds_);
   for (const supply_sample& one : it.samples) {
     sums_.tokens += one.done;
@@ -73,6 +74,7 @@
 
 bool supply_trainer::train(std::uint64_t newest, time_point now, duration tick) {
   sums_.active_seconds += rests(now) ? 0 : to_seconds(tick);
+  idle_ = false;
   if (now < busy_until_) {
     return false;
   }
@@ -89,6 +91,7 @@
     }
   }
   if (chosen == groups_.size()) {
+    idle_ = !rests(now);
     sums_.idle_seconds += rests(now) ? 0 : to_seconds(tick);
     return false;
   }
--- a/libs/bench/supply_trainer.h
+++ b/libs/bench/supply_trainer.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "bench/supply_model.h"
@@ -66,6 +67,10 @@
   [[nodiscard]] std::vector<supply_group>& groups() { return groups_; }
   [[nodiscard]] const trainer_plan& plan() const { return plan_; }
   [[nodiscard]] const supply_trainer_sums& sums() const { return sums_; }
+  /// Completion of the group taken last, until it is read.
+  [[nodiscard]] std::optional<time_point> take_last() { return std::exchange(last_taken_, {}); }
+  /// Whether the last call of `train` found nothing to take.
+  [[nodiscard]] bool idle() const { return idle_; }
   /// Mean time from a group's completion until it is taken.
   [[nodiscard]] duration delivery_wait() const;
 
@@ -82,6 +87,8 @@
   std::size_t next_number_ = 0;
   int trained_ = 0;
   time_point busy_until_{};
+  std::optional<time_point> last_taken_{};
+  bool idle_ = false;
   double wait_seconds_ = 0;
   supply_trainer_sums sums_;
 };
