--- a/libs/bench/supply_simulation.cpp
+++ b/libs/bench/supply_simulation.cpp
@@ -215,7 +215,16 @@
   std::vector<double> rollouts(use_.size());
   std::vector<double> chats(use_.size());
   for (supply_trainer& trainer : trainers_) {
+    // Samples that are held back for later use no engine now.
+    int startable = options_.parts.start_limit ? starts_.limit(trainer.plan().name)
+                                               : trainer.plan().groups_in_flight;
     for (const supply_group& group : trainer.groups()) {
+      startable -= group.started ? 1 : 0;
+    }
+    for (const supply_group& group : trainer.groups()) {
+      if (!group.started && --startable < 0) {
+        continue;
+      }
       rollouts[trainer.plan().model] += static_cast<double>(
           std::count_if(group.samples.begin(), group.samples.end(),
                         [](const auto& it) { return it.state != sample_state::finished; }));
