Give the check of the store lease in a read-back its own section

Cause: the second answer reused a consumed request id, so the section could not fail when the comparison of the store lease was removed. Change: one section per record.

--- a/tests/control/control_unit_test.cpp
+++ b/tests/control/control_unit_test.cpp
@@ -61,9 +61,11 @@
       it.on_read(read, {true, lease_entry{{"i", "b", "a", "l"}, 7}}, at({}));
       CHECK(it.permit("s")->token == 7);
     }
-    SECTION("a record of an earlier process or store lease does not") {
+    SECTION("a record of an earlier process does not") {
       it.on_read(read, {true, lease_entry{{"i", "old", "a", "l"}, 7}}, at({}));
       CHECK_FALSE(it.may_act("s", at({})));
+    }
+    SECTION("a record of an earlier store lease does not") {
       it.on_read(read, {true, lease_entry{{"i", "b", "a", "l0"}, 7}}, at({}));
       CHECK_FALSE(it.may_act("s", at({})));
     }
