--- a/tests/control/control_world_actions.cpp
+++ b/tests/control/control_world_actions.cpp
@@ -139,7 +139,7 @@
 void control_world::perform(const process_ptr& p, const read_holders& it) {
   // The takeover that asked may be gone when the answer comes; only its token tells them apart.
   const auto token = p->lease->permit(it.shard).value_or(lease_permit{}).token;
-  const auto answer = [this, p, it, token](std::optional<stored_holders> value) {
+  const auto answer = [this, p, it, token](const std::optional<stored_holders>& value) {
     return [this, p, it, token, value] {
       task& state = p->tasks[it.shard];
       if (state.clearing && p->lease->permit(it.shard).value_or(lease_permit{}).token == token) {
--- a/tests/replication/overlay_test.cpp
+++ b/tests/replication/overlay_test.cpp
@@ -24,9 +24,10 @@
     }
     for (const auto& [id, others] : graph) {
       most_links = std::max(most_links, others.size());
-      one_sided += static_cast<int>(std::ranges::count_if(others, [&](const std::string& other) {
-        return !std::ranges::binary_search(graph.at(other), id);
-      }));
+      one_sided += static_cast<int>(
+          std::ranges::count_if(others, [&, self = std::string_view(id)](const std::string& other) {
+            return !std::ranges::binary_search(graph.at(other), self);
+          }));
     }
   }
   std::cout << "overlay: at most " << most_links << " links an instance\n";
