--- a/libs/ledger/sample.h
+++ b/libs/ledger/sample.h
@@ -21,13 +21,13 @@
 struct sample_result {
   sample_attempt attempt;
   std::string text;
-  /// Why the text ends there, as the engine said, for example "stop" or "length".
-  std::string finish_reason;
   /// All versions that took part, in any order. An attempt without one is treated as failed.
   std::vector<std::uint64_t> weight_versions;
   /// Not empty if the sample can never run, for example "quarantined". It is then delivered with
   /// this error, without text and versions, so that the step can end.
   std::string error;
+  /// Why the text ends there, as the engine said, for example "stop" or "length".
+  std::string finish_reason = {};
 };
 
 } // namespace boragedoor::ledger
