--- a/tools/session.sh
+++ b/tools/session.sh
@@ -41,6 +41,7 @@
 start_standins() {
   "$bin/boragedoor-standin" all "$@" > "$work/standins" &
   pids+=($!)
+  disown
   await grep -q ordering "$work/standins"
 }
 
@@ -75,6 +76,7 @@
 INI
   "$bin/boragedoord" --settings="$work/i$n.ini" > "$work/i$n.ready" &
   pids+=($!)
+  disown
   await grep -q callers "$work/i$n.ready"
   local callers
   callers=$(json_field callers "$work/i$n.ready")
