--- a/tests/daemon/test_cluster.cpp
+++ b/tests/daemon/test_cluster.cpp
@@ -279,7 +279,8 @@
   const auto wanted = usage_shards + trainers + static_cast<std::size_t>(options_.data_centres);
   const bool reached = await([&] {
     std::size_t held = 0;
-    for (const json& row : operate(0, "GET", "/admin/instances").value()["instances"]) {
+    const json answer = operate(0, "GET", "/admin/instances").value();
+    for (const json& row : answer["instances"]) {
       held += row.contains("shards") ? row["shards"].size() : 0;
     }
     return held == wanted;
