Drop calls that an ended instance left on the loop

Cause: delayed calls of tasks captured the task and could run after the instance was destroyed, for example the pause of a watch during a store outage.

--- a/libs/daemon/admin_gateway.cpp
+++ b/libs/daemon/admin_gateway.cpp
@@ -277,7 +277,7 @@
 void admin_gateway::drain(const exchange_ptr& exchange, const std::string& instance) {
   if (instance == context_.settings.instance.id) {
     exchange->respond_json(200, {{"instance", instance}, {"state", "draining"}});
-    context_.loop.post([this] { drain_asked_.emit(); });
+    context_.post([this] { drain_asked_.emit(); });
     return;
   }
   const auto target = std::ranges::find(list_, instance, &listed_instance::id);
--- a/libs/daemon/caller_gateway.cpp
+++ b/libs/daemon/caller_gateway.cpp
@@ -165,7 +165,7 @@
     exchange->send_chunk(net::format_event(to_text(body)));
     if (exchange->pending_bytes() > max_pending_bytes) {
       exchange->abort();
-      context_.loop.post([this, number] { completions_.cancel(*number); });
+      context_.post([this, number] { completions_.cancel(*number); });
     }
   };
   callbacks.on_complete = [exchange, begin, spec](const completion_result& done) {
--- a/libs/daemon/daemon_context.h
+++ b/libs/daemon/daemon_context.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <functional>
+#include <memory>
 #include <string>
+#include <utility>
 
 #include "base/random.h"
 #include "base/time.h"
@@ -24,15 +27,35 @@
   net::address callers;
   /// Random id of this process start.
   std::string boot_id;
+  /// Ends with the instance, so that calls it left on the loop are dropped and do not reach
+  /// destroyed tasks.
+  std::shared_ptr<const bool> lifetime = std::make_shared<const bool>(true);
 
   [[nodiscard]] time_point now() const { return loop.now(); }
 
+  /// Calls `fn` from the loop, unless the instance has ended by then.
+  void post(std::function<void()> fn) const { loop.post(while_alive(std::move(fn))); }
+
+  /// Calls `fn` from the loop after `delay`, unless the instance has ended by then.
+  void post_after(duration delay, std::function<void()> fn) const {
+    loop.post_after(delay, while_alive(std::move(fn)));
+  }
+
   /// Records an event with the present times; returns its id.
   std::string record(events::event it) const {
     it.monotonic = loop.now();
     it.wall = wall_now();
     return log.record(std::move(it));
   }
+
+private:
+  [[nodiscard]] std::function<void()> while_alive(std::function<void()> fn) const {
+    return [alive = std::weak_ptr<const bool>(lifetime), fn = std::move(fn)] {
+      if (!alive.expired()) {
+        fn();
+      }
+    };
+  }
 };
 
 } // namespace boragedoor::daemon
--- a/libs/daemon/order_task.cpp
+++ b/libs/daemon/order_task.cpp
@@ -136,7 +136,7 @@
   auto body = parse_json(it.what.desired);
   // The clock is read again here: the process may have been paused since the gate decided.
   if (target.port == 0 || !body || context_.now() >= it.not_after) {
-    context_.loop.post([this, shard, id = it.what.id] { finish(shard, id, false); });
+    context_.post([this, shard, id = it.what.id] { finish(shard, id, false); });
     return;
   }
   body.value()["order_id"] = it.what.id;
--- a/libs/daemon/trainer_task.cpp
+++ b/libs/daemon/trainer_task.cpp
@@ -105,7 +105,7 @@
       return;
     }
     if (!answer) {
-      context_.loop.post_after(recovery_retry, [this, trainer, token] {
+      context_.post_after(recovery_retry, [this, trainer, token] {
         const auto it = held_.find(trainer);
         if (it != held_.end() && it->second.token == token) {
           recover(trainer, token);
@@ -337,7 +337,7 @@
   const auto* trainer =
       configuration_ ? config::find_trainer(*configuration_, step.first) : nullptr;
   if (trainer == nullptr) {
-    context_.loop.post([this, step, attempt = it.attempt] {
+    context_.post([this, step, attempt = it.attempt] {
       if (auto* ledger = find(step)) {
         run(step, ledger->fail_sample(context_.now(), attempt));
       }
@@ -370,14 +370,14 @@
     sample.attempt = attempt;
     sample.text = done.text;
     sample.weight_versions = done.weight_versions;
-    context_.loop.post([this, step, sample = std::move(sample)] {
+    context_.post([this, step, sample = std::move(sample)] {
       if (auto* ledger = find(step)) {
         run(step, ledger->finish_sample(context_.now(), sample));
       }
     });
   };
   callbacks.on_failure = [this, step, attempt = it.attempt](const api_error& reason) {
-    context_.loop.post([this, step, attempt, code = reason.code] {
+    context_.post([this, step, attempt, code = reason.code] {
       auto* ledger = find(step);
       if (ledger == nullptr) {
         return;
@@ -447,7 +447,7 @@
 
 void trainer_task::carry_out(const step_id& step, const ledger::step_stopped& /*it*/) {
   // The ledger is on the stack; it goes after the current callback.
-  context_.loop.post([this, step] {
+  context_.post([this, step] {
     const auto it = ledgers_.find(step);
     if (it != ledgers_.end() && it->second->stopped()) {
       ledgers_.erase(it);
