Tell the loser of a proposal race what changed

Cause: a conflict at the write, not at the read before it, was reported with revision 0 and no changes. A proposal whose answer was lost and that was replaced before it was read back was reported as a conflict with executed "no", although it took effect. Change: after a conflict the head is read again; another value after a write of unknown outcome leaves the outcome unknown.

--- a/libs/daemon/configuration_task.cpp
+++ b/libs/daemon/configuration_task.cpp
@@ -30,6 +30,7 @@
 constexpr duration withdrawal_wait = seconds(3);
 constexpr duration fold_period = seconds(2);
 constexpr int edit_attempts = 6;
+constexpr int proposal_attempts = 2;
 constexpr std::size_t history_length = 16;
 
 bool lists_key(std::string_view document, std::string_view key_id) {
@@ -140,7 +141,7 @@
         watch_revision_ = 0;
       }
       // The pause keeps a store that refuses calls from being asked in a tight loop.
-      context_.loop.post_after(read_retry, [this] { watching_ = false; });
+      context_.post_after(read_retry, [this] { watching_ = false; });
       return;
     }
     watching_ = false;
@@ -267,8 +268,9 @@
   auto next = std::make_shared<config::configuration>(std::move(parsed).value());
   next->proposal_id = secure_random_hex(16);
   const auto conflict = std::make_shared<proposal_result>();
+  // The second attempt only reads what won the race, so that the loser can be told.
   edit_head(
-      1,
+      proposal_attempts,
       [this, based_on, next,
        conflict](const config::configuration& head) -> result<config::configuration> {
         if (head.revision != based_on) {
--- a/libs/store/store_client.cpp
+++ b/libs/store/store_client.cpp
@@ -198,10 +198,9 @@
       const auto& found = seen.value();
       if (found && found->value == request.value) {
         done({write_outcome::ok, found->version});
-      } else if (found) {
-        done({write_outcome::conflict, found->version});
       } else {
-        // The write may still be on its way to the store, so its absence proves nothing.
+        // The write may still be on its way to the store, or it took effect and another one has
+        // replaced it since.
         done({write_outcome::unknown, 0});
       }
       return;
