Refuse calls with an idempotency key soon while the store is down

Cause: such a call waited for the store until its deadline of 30 s. Change: a claim that the store has not confirmed within 3 s is given up; the caller gets 503 store_unavailable and nothing is sent.

--- a/libs/daemon/service_task.cpp
+++ b/libs/daemon/service_task.cpp
@@ -15,6 +15,10 @@
 // Claims that may come at once, in seconds of the steady rate.
 constexpr double claim_burst_seconds = 2;
 
+// A store that is up answers in milliseconds. When it is down, callers are told within this time
+// and can ask again, and do not wait for their whole deadline.
+constexpr duration claim_wait = seconds(3);
+
 std::string body_hash_of(const service_call_spec& spec) {
   return sha256_hex(spec.method + '\n' + spec.service + '\n' + spec.path + '\n' + spec.body);
 }
@@ -104,6 +108,7 @@
   call.idempotency_key = it->spec.idempotency_key;
   call.body_hash = body_hash_of(it->spec);
   call.deadline = it->spec.deadline;
+  call.claim_by = now + claim_wait;
   call.wall_deadline = wall_now() + (it->spec.deadline - now);
   call.send_at_once = true;
   run(once_.begin(now, wall_now(), std::move(call)));
@@ -303,7 +308,7 @@
   const auto decision = retries_.decide(failed, now, context_.random);
   if (const auto* again = std::get_if<retry::try_again>(&decision)) {
     record(events::event_number::request_retried, *it);
-    context_.loop.post_after(again->at - now, [this, it] {
+    context_.post_after(again->at - now, [this, it] {
       if (find(it->number)) {
         send(it);
       }
--- a/libs/requests/once_table.cpp
+++ b/libs/requests/once_table.cpp
@@ -81,7 +81,7 @@
     it.record.body_hash = call.body_hash;
     it.record.created = wall;
     it.record.deadline = call.wall_deadline;
-    it.answer_by = call.deadline;
+    it.answer_by = std::min(call.claim_by, call.deadline);
     it.call = std::move(call);
     claim(out, it, 0);
   }
@@ -132,6 +132,7 @@
     release(out, it);
   } else if (it.record.state == once_state::sent) {
     it.at = step::sent;
+    it.answer_by = it.call.deadline;
     out.emplace_back(send_request{it.call.id});
   } else {
     it.at = step::claimed;
--- a/libs/requests/once_table.h
+++ b/libs/requests/once_table.h
@@ -78,6 +78,8 @@
   wall_time wall_deadline{};
   /// An endpoint is free: claim and mark as sent in one write.
   bool send_at_once = false;
+  /// When the call gives up if the store has not confirmed its claim by then.
+  time_point claim_by = time_point::max();
 };
 
 /// Runs non-idempotent requests with an idempotency key at most once, over all instances.
