Place crash suspects apart and tell crashes apart

Cause: each instance knew only its own running requests, so suspects of different instances shared engines and none was counted; and a second crash within the second between load reports had the incarnation of the first and was taken for the same one. Change: a suspect runs only on the endpoint that all instances compute for it; an endpoint whose process ended gets no requests until it has reported again.

--- a/libs/daemon/completion_task.cpp
+++ b/libs/daemon/completion_task.cpp
@@ -234,9 +234,15 @@
   if (!suspects_.suspect(it.fingerprint)) {
     return list;
   }
-  for (const auto& endpoint : endpoints_.endpoints()) {
-    if (!requests::may_place(suspects_, it.fingerprint, running_on(endpoint.id))) {
-      list.push_back(endpoint.id);
+  // All instances choose the same endpoint for a suspect, because they do not know each other's
+  // running requests. Where it failed before does not matter then.
+  const auto usable = endpoints_.usable(it.spec.pool);
+  const auto place = requests::suspect_endpoint(suspects_, it.fingerprint, usable);
+  list.clear();
+  for (const auto& endpoint : usable) {
+    if (endpoint != place ||
+        !requests::may_place(suspects_, it.fingerprint, running_on(endpoint))) {
+      list.push_back(endpoint);
     }
   }
   return list;
@@ -278,7 +284,7 @@
       fail(it, {503, "no_endpoint", endpoint.error().message, executed_so_far(*it), seconds(1)});
       return;
     }
-    context_.loop.post_after(no_endpoint_delay, [this, it] { dispatch(it); });
+    context_.post_after(no_endpoint_delay, [this, it] { dispatch(it); });
     return;
   }
   start_attempt(it, endpoint.value());
@@ -346,7 +352,7 @@
 void completion_task::on_attempt_complete(const active_ptr& it,
                                           const engine_completion& completion) {
   // The attempt is on the stack, so it is destroyed after this callback.
-  context_.loop.post([keep = std::shared_ptr<engine_attempt>(std::move(it->attempt))] {});
+  context_.post([keep = std::shared_ptr<engine_attempt>(std::move(it->attempt))] {});
   end_attempt(*it, routing::evidence::success);
   retries_.record_success();
   it->prompt_tokens = completion.prompt_tokens;
@@ -371,7 +377,7 @@
 }
 
 void completion_task::on_attempt_failure(const active_ptr& it, const attempt_failure& failure) {
-  context_.loop.post([keep = std::shared_ptr<engine_attempt>(std::move(it->attempt))] {});
+  context_.post([keep = std::shared_ptr<engine_attempt>(std::move(it->attempt))] {});
   const chosen_endpoint endpoint = *it->endpoint;
   record(events::event_number::attempt_failed, *it, {{"reason", failure.message}});
   it->failed_on.push_back(endpoint.id);
@@ -401,6 +407,7 @@
         if (alive == false) {
           // All that broke together are recorded at once; later answers find the list empty.
           const auto crashed = std::exchange(broken_[place], {});
+          endpoints_.process_ended(endpoint.id, endpoint.incarnation);
           if (!crashed.empty()) {
             share_suspects(suspects_.record_crash(context_.now(), wall_now(), endpoint.id,
                                                   endpoint.incarnation, crashed),
@@ -438,7 +445,7 @@
   }
   record(events::event_number::request_retried, *it);
   const auto& again = std::get<retry::try_again>(decision);
-  context_.loop.post_after(again.at - now, [this, it] { dispatch(it); });
+  context_.post_after(again.at - now, [this, it] { dispatch(it); });
 }
 
 void completion_task::end_attempt(active_completion& it,
@@ -467,7 +474,7 @@
   it->ended = true;
   it->callbacks = {};
   if (it->attempt) {
-    context_.loop.post([keep = std::shared_ptr<engine_attempt>(std::move(it->attempt))] {});
+    context_.post([keep = std::shared_ptr<engine_attempt>(std::move(it->attempt))] {});
   }
   end_attempt(*it, std::nullopt);
   if (it->admitted) {
@@ -481,7 +488,7 @@
   }
   report_usage(*it, it->prompt_tokens);
   active_.erase(it->number);
-  context_.loop.post([this, pool = it->spec.pool] { poll(pool); });
+  context_.post([this, pool = it->spec.pool] { poll(pool); });
 }
 
 void completion_task::report_usage(active_completion& it, std::uint64_t prompt_tokens) {
@@ -533,6 +540,9 @@
   }
   const auto records = requests::crash_records_from_json(message["records"]);
   if (records) {
+    for (const auto& it : records.value()) {
+      endpoints_.process_ended(it.endpoint, it.incarnation);
+    }
     share_suspects(suspects_.merge(context_.now(), wall_now(), records.value()), peer);
   }
 }
--- a/libs/daemon/endpoint_task.cpp
+++ b/libs/daemon/endpoint_task.cpp
@@ -143,6 +143,7 @@
     health_.remove(id);
     hints_.forget(id);
     incarnations_.erase(id);
+    ended_.erase(id);
   }
   changed_.emit();
 }
@@ -179,12 +180,16 @@
     table_.report(id, report);
     table_.set_weight_version(
         id, static_cast<std::uint64_t>(integer_field(value.value(), "weight_version").value_or(0)));
-    auto& incarnation = incarnations_[id];
     const auto seen = string_field(value.value(), "incarnation").value_or("");
-    if (!incarnation.empty() && incarnation != seen) {
+    const auto known = incarnations_.find(id);
+    if (known != incarnations_.end() && known->second != seen) {
       hints_.forget(id);
     }
-    incarnation = seen;
+    incarnations_[id] = seen;
+    // An answer that was on its way when the process ended says nothing about the next one.
+    if (const auto ended = ended_.find(id); ended != ended_.end() && ended->second <= sent) {
+      ended_.erase(ended);
+    }
   };
   callbacks.on_failure = [this, id = it.id](const net::http_failure& /*failure*/) {
     health_.record(id, routing::evidence::stale_report, context_.now());
@@ -232,7 +237,13 @@
 
 result<chosen_endpoint> endpoint_task::choose(const routing::route_request& request) {
   const time_point now = context_.now();
-  auto choice = router_.choose(request, table_, health_, hints_, now, context_.random);
+  std::vector<std::string> excluded(request.excluded.begin(), request.excluded.end());
+  for (const auto& [id, since] : ended_) {
+    excluded.push_back(id);
+  }
+  routing::route_request limited = request;
+  limited.excluded = excluded;
+  auto choice = router_.choose(limited, table_, health_, hints_, now, context_.random);
   if (!choice) {
     return choice.error();
   }
@@ -282,6 +293,24 @@
   context_.http.send(std::move(spec), std::move(callbacks));
 }
 
+void endpoint_task::process_ended(const std::string& endpoint, const std::string& incarnation) {
+  const auto known = incarnations_.find(endpoint);
+  if (known != incarnations_.end() && known->second == incarnation) {
+    ended_[endpoint] = context_.now();
+  }
+}
+
+std::vector<std::string> endpoint_task::usable(std::string_view pool) const {
+  std::vector<std::string> list;
+  table_.for_each([&](const routing::endpoint& it) {
+    if (it.pool == pool && it.state == routing::endpoint_state::ready &&
+        health_.state(it.id) != routing::health_state::set_aside) {
+      list.push_back(it.id);
+    }
+  });
+  return list;
+}
+
 endpoint_task::capacity endpoint_task::capacity_of(std::string_view pool) const {
   capacity sum;
   table_.for_each([&](const routing::endpoint& it) {
--- a/libs/daemon/endpoint_task.h
+++ b/libs/daemon/endpoint_task.h
@@ -47,6 +47,13 @@
   void check_incarnation(const chosen_endpoint& endpoint,
                          std::function<void(std::optional<bool>)> done);
 
+  /// The process with that incarnation is gone. The endpoint gets no requests until it has reported
+  /// its load again, so that another crash is not taken for the same one.
+  void process_ended(const std::string& endpoint, const std::string& incarnation);
+
+  /// Ready endpoints of a pool that are not set aside.
+  [[nodiscard]] std::vector<std::string> usable(std::string_view pool) const;
+
   /// Places for requests over all ready endpoints of a pool, and the requests on them.
   struct capacity {
     int places = 0;
@@ -80,6 +87,8 @@
   routing::prefix_cache_hints hints_;
   routing::endpoint_table table_;
   std::map<std::string, std::string> incarnations_;
+  /// When the last known process of an endpoint was found to be gone.
+  std::map<std::string, time_point> ended_;
   std::map<std::string, std::uint64_t> cache_sequences_;
   net::timer table_timer_;
   net::timer load_timer_;
