Name the finish reason of each sample

Cause: batches lacked finish_reason, so the trainer stand-in counted every sample as a violation and the step never ended for it. Change: the sample carries what the endpoint said. Conclusion: shown by whole_path_test and guarantees_shards_test.

--- a/libs/daemon/trainer_task.cpp
+++ b/libs/daemon/trainer_task.cpp
@@ -370,6 +370,7 @@
     sample.attempt = attempt;
     sample.text = done.text;
     sample.weight_versions = done.weight_versions;
+    sample.finish_reason = done.finish_reason;
     context_.post([this, step, sample = std::move(sample)] {
       if (auto* ledger = find(step)) {
         run(step, ledger->finish_sample(context_.now(), sample));
--- a/libs/ledger/batch_builder.cpp
+++ b/libs/ledger/batch_builder.cpp
@@ -29,6 +29,7 @@
   if (it.error.empty()) {
     value["text"] = it.text;
     value["weight_versions"] = distinct(it.weight_versions);
+    value["finish_reason"] = it.finish_reason;
   } else {
     value["error"] = it.error;
     value["weight_versions"] = json::array();
--- a/libs/ledger/sample.h
+++ b/libs/ledger/sample.h
@@ -26,6 +26,8 @@
   /// Not empty if the sample can never run, for example "quarantined". It is then delivered with
   /// this error, without text and versions, so that the step can end.
   std::string error;
+  /// Why the text ended, as the endpoint said; empty with an error.
+  std::string finish_reason = {};
 };
 
 } // namespace boragedoor::ledger
