--- a/libs/scaling/endpoint_scaler.h
+++ b/libs/scaling/endpoint_scaler.h
@@ -79,7 +79,7 @@
   /// Part of the harmless use that cheaper capacity may carry: the rest absorbs error in its share.
   double cheap_fill = 0.9;
   /// At most this share of a pool's endpoints is cheaper capacity of one data centre.
-  double reclaim_share = 0.2;
+  double reclaim_share = 0.3;
   /// How long cheaper capacity may stay away before standard capacity takes its place, the share of
   /// it that is replaced then, and the time until it is asked for again.
   duration fallback_delay = seconds(90);
