--- a/libs/daemon/caller_gateway.cpp
+++ b/libs/daemon/caller_gateway.cpp
@@ -58,8 +58,12 @@
   });
 }
 
-void caller_gateway::on_draining(const std::string& instance) {
-  draining_.insert(instance);
+void caller_gateway::on_draining(const std::string& instance, bool draining) {
+  if (draining) {
+    draining_.insert(instance);
+  } else {
+    draining_.erase(instance);
+  }
 }
 
 std::string caller_gateway::next_request_id() {
--- a/libs/daemon/caller_gateway.h
+++ b/libs/daemon/caller_gateway.h
@@ -26,7 +26,7 @@
 
   void on_list(std::span<const listed_instance> list);
   /// Instances that said that they are draining, before the platform's list shows it.
-  void on_draining(const std::string& instance);
+  void on_draining(const std::string& instance, bool draining);
   void set_serving(bool serving) { serving_ = serving; }
 
   void lookup(const exchange_ptr& exchange) const;
--- a/libs/daemon/configuration_task.cpp
+++ b/libs/daemon/configuration_task.cpp
@@ -266,7 +266,9 @@
     return;
   }
   auto next = std::make_shared<config::configuration>(std::move(parsed).value());
-  next->proposal_id = secure_random_hex(16);
+  if (next->proposal_id.empty()) {
+    next->proposal_id = secure_random_hex(16);
+  }
   const auto conflict = std::make_shared<proposal_result>();
   // The second attempt only reads what won the race, so that the loser can be told.
   edit_head(
@@ -412,18 +414,24 @@
       [this](const result<std::uint64_t>& /*it*/) { folding_ = false; });
 }
 
+bool configuration_task::is_durably_withdrawn(const std::string& key_id) const {
+  // Once the accepted configuration has dropped the key, the set no longer holds the withdrawal.
+  return spread_.is_durable(key_id) ||
+         !lists_key(spread_.configuration().current().document, key_id);
+}
+
 void configuration_task::check_withdrawals() {
   const time_point now = context_.now();
   std::vector<open_withdrawal> finished;
   std::erase_if(open_withdrawals_, [&](open_withdrawal& it) {
-    if (!spread_.is_durable(it.key_id) && now < it.deadline) {
+    if (!is_durably_withdrawn(it.key_id) && now < it.deadline) {
       return false;
     }
     finished.push_back(std::move(it));
     return true;
   });
   for (const auto& it : finished) {
-    it.done({it.key_id, spread_.is_durable(it.key_id),
+    it.done({it.key_id, is_durably_withdrawn(it.key_id),
              spread_.withdrawn().holder_count(it.key_id) + 1});
   }
 }
--- a/libs/daemon/configuration_task.h
+++ b/libs/daemon/configuration_task.h
@@ -115,6 +115,7 @@
   [[nodiscard]] bool is_watcher() const;
   [[nodiscard]] std::vector<config::change> changes_since(std::uint64_t revision,
                                                           const config::configuration& head) const;
+  [[nodiscard]] bool is_durably_withdrawn(const std::string& key_id) const;
   void check_withdrawals();
   void check_state();
 
--- a/libs/daemon/daemon.cpp
+++ b/libs/daemon/daemon.cpp
@@ -131,13 +131,22 @@
   });
   announcements->learned().connect([this](const announcement& it) {
     constexpr std::string_view prefix = "draining/";
-    if (it.name.starts_with(prefix)) {
-      callers->on_draining(it.name.substr(prefix.size()));
+    const bool is_own = it.name == "draining/" + settings.instance.id;
+    if (is_own && !drain->is_draining() && it.value != json(nullptr)) {
+      // A former process of this instance drained; this one serves.
+      announcements->announce({it.name, it.number + 1, nullptr});
+    } else if (it.name.starts_with(prefix)) {
+      callers->on_draining(it.name.substr(prefix.size()), !it.value.is_null());
     }
   });
   completions->used().connect([this](const usage_fact& it) { usage->record(it); });
   services->used().connect([this](const usage_fact& it) { usage->record(it); });
-  admin->drain_asked().connect([this] { drain->start(); });
+  admin->drain_asked().connect([this] {
+    // Only a second signal ends the process at once; a repeated request does no harm.
+    if (!drain->is_draining()) {
+      drain->start();
+    }
+  });
   store->availability_changed().connect([this](bool available) {
     events::event it;
     it.number =
--- a/libs/daemon/endpoint_task.cpp
+++ b/libs/daemon/endpoint_task.cpp
@@ -11,6 +11,10 @@
 // A draining endpoint must get no new work after a few seconds, so the table is read every second.
 constexpr duration table_period = seconds(1);
 constexpr duration load_period = seconds(1);
+
+// Endpoints of a pool that one instance chooses from. At the target 1,400 replicas would cost each
+// instance 1,400 polls a second; a subset keeps the cost of an instance independent of the fleet.
+constexpr std::size_t subset_size = 16;
 constexpr duration poll_timeout = seconds(2);
 
 // Requests that an engine runs at once, where the platform does not say.
@@ -52,6 +56,7 @@
 
 result<std::unique_ptr<endpoint_task>> endpoint_task::create(const daemon_context& context) {
   routing::router_options options;
+  options.subset_size = subset_size;
   options.instance = context.settings.instance.id;
   options.data_centre = context.settings.instance.data_centre;
   options.region = context.settings.instance.region;
@@ -148,13 +153,39 @@
   changed_.emit();
 }
 
-void endpoint_task::poll_loads() {
-  std::vector<routing::endpoint> engines;
+void endpoint_task::observe_data_centre(const std::string& name, bool observe) {
+  if (observe) {
+    observed_.insert(name);
+  } else {
+    observed_.erase(name);
+  }
+}
+
+std::set<std::string> endpoint_task::engines_to_poll() const {
+  std::set<std::string> pools;
+  std::set<std::string> wanted;
   table_.for_each([&](const routing::endpoint& it) {
     if (it.kind == routing::endpoint_kind::engine) {
-      engines.push_back(it);
+      pools.insert(it.pool);
+      if (observed_.contains(it.data_centre)) {
+        wanted.insert(it.id);
+      }
     }
   });
+  const auto& self = context_.settings.instance;
+  for (const auto& pool : pools) {
+    const auto subset = routing::endpoint_subset(table_, self.id, self.region, pool, subset_size);
+    wanted.insert(subset.begin(), subset.end());
+  }
+  return wanted;
+}
+
+void endpoint_task::poll_loads() {
+  // The calls may end at once and change the table, so the endpoints are copied first.
+  std::vector<routing::endpoint> engines;
+  for (const auto& id : engines_to_poll()) {
+    engines.push_back(*table_.find(id));
+  }
   for (const auto& it : engines) {
     poll_load(it);
     poll_cache_events(it);
--- a/libs/daemon/endpoint_task.h
+++ b/libs/daemon/endpoint_task.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,6 +36,10 @@
   void start();
   void on_list(std::span<const listed_instance> list);
 
+  /// The load of all engines of a data centre is read while this instance orders them. Of the
+  /// others only those that this instance may choose are asked.
+  void observe_data_centre(const std::string& name, bool observe);
+
   /// Chooses an endpoint and counts the attempt against it until `finished`.
   /// Fails with `unavailable`.
   result<chosen_endpoint> choose(const routing::route_request& request);
@@ -76,6 +81,7 @@
   void poll_table();
   void accept_table(const json& value);
   void poll_loads();
+  [[nodiscard]] std::set<std::string> engines_to_poll() const;
   void poll_load(const routing::endpoint& it);
   void poll_cache_events(const routing::endpoint& it);
   void update_health();
@@ -90,6 +96,7 @@
   /// When the last known process of an endpoint was found to be gone.
   std::map<std::string, time_point> ended_;
   std::map<std::string, std::uint64_t> cache_sequences_;
+  std::set<std::string> observed_;
   net::timer table_timer_;
   net::timer load_timer_;
   std::size_t instances_ = 1;
--- a/libs/daemon/order_task.cpp
+++ b/libs/daemon/order_task.cpp
@@ -38,6 +38,7 @@
       state.held = true;
       state.stopping = false;
       state.gate.resume();
+      endpoints_.observe_data_centre(it.name.substr(shard_prefix.size()), true);
     }
   });
   shards_.stopping().connect([this](const held_shard& it) {
@@ -50,6 +51,7 @@
   shards_.lost().connect([this](const held_shard& it) {
     if (is_data_centre_shard(it.name)) {
       state_of(it.name).held = false;
+      endpoints_.observe_data_centre(it.name.substr(shard_prefix.size()), false);
     }
   });
   shards_.step_down_asked().connect(
@@ -85,6 +87,7 @@
     run(shard, it.gate.tick(permit(shard), context_.now()));
     if (it.held && it.stopping && it.gate.is_settled(context_.now())) {
       it.held = false;
+      endpoints_.observe_data_centre(shard.substr(shard_prefix.size()), false);
       shards_.settled(shard);
     }
   }
@@ -157,7 +160,7 @@
     finish(shard, what.id, reply.status == 200 || refused);
   };
   callbacks.on_failure = [this, shard, what = it.what](const net::http_failure& failure) {
-    record(events::event_number::order_refused, shard, what, failure.cause.message);
+    record(events::event_number::attempt_failed, shard, what, failure.cause.message);
     finish(shard, what.id, false);
   };
   context_.http.send(std::move(spec), std::move(callbacks));
