--- a/libs/ledger/batch_builder.cpp
+++ b/libs/ledger/batch_builder.cpp
@@ -30,6 +30,7 @@
     value["text"] = it.text;
     value["finish_reason"] = it.finish_reason;
     value["weight_versions"] = distinct(it.weight_versions);
+    value["finish_reason"] = it.finish_reason;
   } else {
     value["error"] = it.error;
     value["weight_versions"] = json::array();
