Let the trainer stand-in accept the end of a step

Cause: the daemon answers a pull after the last batch with step_complete and no batch; the client took that for a damaged batch and asked again for ever. Change: such an answer ends the step; groups that did not come are violations as before.

--- a/libs/standin/trainer_client.cpp
+++ b/libs/standin/trainer_client.cpp
@@ -128,6 +128,13 @@
     repeat(reply);
     return;
   }
+  const auto answer = parse_json(reply.body);
+  if (answer && !answer.value().contains("batch") &&
+      bool_field(answer.value(), "step_complete").value_or(false)) {
+    // No batch follows; groups that did not come are violations.
+    finish_step();
+    return;
+  }
   if (!checks_.receive(reply.body)) {
     // A batch before the one that was asked for: come back later, not in a tight loop.
     retry_step_ = [this] { pull(true); };
