Load new weights in waves by the rollout policy

Cause: the data-centre holder ordered every engine to the newest weights at once, so all engines of a data centre stood still together and the weight store's rate was ignored; an engine that answered that a swap had failed was asked again every second. Change: order_task asks freshness::weight_rollout which engines swap; each holder takes an equal part of the weight store's rate; an answer that the swap failed settles the order and the policy decides when to try again.

--- a/libs/daemon/endpoint_task.h
+++ b/libs/daemon/endpoint_task.h
@@ -59,6 +59,16 @@
   /// Ready endpoints of a pool that are not set aside.
   [[nodiscard]] std::vector<std::string> usable(std::string_view pool) const;
 
+  /// Whether an engine has reported its load and version to this instance.
+  [[nodiscard]] bool has_reported(const std::string& endpoint) const {
+    return incarnations_.contains(endpoint);
+  }
+
+  /// Requests on an endpoint, as far as this instance knows.
+  [[nodiscard]] int outstanding(const std::string& endpoint) const {
+    return table_.outstanding(endpoint);
+  }
+
   /// Places for requests over all ready endpoints of a pool, and the requests on them.
   struct capacity {
     int places = 0;
--- a/libs/daemon/order_task.cpp
+++ b/libs/daemon/order_task.cpp
@@ -1,5 +1,7 @@
 #include "daemon/order_task.h"
 
+#include <algorithm>
+#include <set>
 #include <utility>
 #include <variant>
 
@@ -38,6 +40,7 @@
       state.held = true;
       state.stopping = false;
       state.gate.resume();
+      start_rollout(it.name, state);
       endpoints_.observe_data_centre(it.name.substr(shard_prefix.size()), true);
     }
   });
@@ -71,7 +74,8 @@
   options.shard = shard;
   options.boot_id = context_.boot_id;
   return data_centres_
-      .emplace(shard, data_centre_state{control::order_gate(std::move(options)), false, false, {}})
+      .emplace(shard,
+               data_centre_state{control::order_gate(std::move(options)), {}, {}, false, false, {}})
       .first->second;
 }
 
@@ -82,7 +86,7 @@
 void order_task::tick() {
   for (auto& [shard, it] : data_centres_) {
     if (it.held && !it.stopping) {
-      want_versions(shard, it);
+      roll_out(shard, it);
     }
     run(shard, it.gate.tick(permit(shard), context_.now()));
     if (it.held && it.stopping && it.gate.is_settled(context_.now())) {
@@ -93,20 +97,92 @@
   }
 }
 
-void order_task::want_versions(const std::string& shard, data_centre_state& it) {
+void order_task::start_rollout(const std::string& shard, data_centre_state& it) {
+  std::set<std::string> data_centres = {shard};
+  for (const auto& endpoint : endpoints_.endpoints()) {
+    data_centres.insert(std::string(shard_prefix) + endpoint.data_centre);
+  }
+  // Each holder takes an equal part of the weight store's rate, so that no holder has to ask
+  // another.
+  freshness::weight_rollout_options options;
+  options.fetches_per_second /= static_cast<double>(data_centres.size());
+  options.fetch_burst =
+      std::max(1.0, options.fetch_burst / static_cast<double>(data_centres.size()));
+  auto rollout = freshness::weight_rollout::create(options);
+  if (rollout) {
+    it.rollout.emplace(std::move(rollout).value());
+  }
+}
+
+void order_task::roll_out(const std::string& shard, data_centre_state& it) {
+  if (!it.rollout) {
+    return;
+  }
+  const time_point now = context_.now();
+  std::set<std::string> listed;
   for (const auto& endpoint : endpoints_.endpoints(shard.substr(shard_prefix.size()))) {
-    const auto version = versions_.find(endpoint.model);
-    if (endpoint.kind != routing::endpoint_kind::engine || version == versions_.end() ||
-        endpoint.weight_version >= version->second ||
-        endpoint.state == routing::endpoint_state::draining) {
+    // Before its first report an engine's version is not known.
+    if (endpoint.kind != routing::endpoint_kind::engine || !endpoints_.has_reported(endpoint.id)) {
       continue;
     }
-    const auto handling = endpoint.fencing == routing::fencing_support::checks_tokens
-                              ? control::token_handling::checks
-                              : control::token_handling::ignores;
-    run(shard,
-        it.gate.request(endpoint.id, handling, desired_version(endpoint.model, version->second),
-                        permit(shard), context_.now()));
+    listed.insert(endpoint.id);
+    freshness::engine_view view;
+    view.id = endpoint.id;
+    view.data_centre = endpoint.data_centre;
+    view.model = endpoint.model;
+    view.version = endpoint.weight_version;
+    view.running = endpoints_.outstanding(endpoint.id);
+    view.ready = endpoint.state == routing::endpoint_state::ready;
+    it.rollout->put(view);
+    if (const auto version = versions_.find(endpoint.model); version != versions_.end()) {
+      it.rollout->announce(endpoint.model, version->second, now);
+    }
+  }
+  for (const auto& id : it.engines) {
+    if (!listed.contains(id)) {
+      it.rollout->remove(id);
+    }
+  }
+  it.engines = std::move(listed);
+  for (const auto& action : it.rollout->decide(now, context_.random)) {
+    if (const auto* swap = std::get_if<freshness::swap_order>(&action)) {
+      want_version(shard, swap->engine, swap->model, swap->version);
+    } else if (const auto* back = std::get_if<freshness::roll_back_order>(&action)) {
+      want_version(shard, back->engine, back->model, back->version);
+    }
+    // Engines that were set aside keep their version, which routing compares with what a request
+    // needs.
+  }
+}
+
+void order_task::want_version(const std::string& shard, const std::string& engine,
+                              const std::string& model, std::uint64_t version) {
+  auto handling = control::token_handling::ignores;
+  for (const auto& endpoint : endpoints_.endpoints()) {
+    if (endpoint.id == engine && endpoint.fencing == routing::fencing_support::checks_tokens) {
+      handling = control::token_handling::checks;
+    }
+  }
+  run(shard, state_of(shard).gate.request(engine, handling, desired_version(model, version),
+                                          permit(shard), context_.now()));
+}
+
+void order_task::swap_answered(const std::string& shard, const control::order& it, bool applied) {
+  auto& state = state_of(shard);
+  const auto desired = parse_json(it.desired);
+  const auto version =
+      desired ? integer_field(desired.value(), "version").value_or(0) : std::int64_t{0};
+  record(applied ? events::event_number::weights_swapped
+                 : events::event_number::weights_swap_failed,
+         shard, it);
+  if (!applied) {
+    // The same version may be ordered again after the delay that the rollout decides on.
+    state.gate.forget_settled(it.target);
+  }
+  if (state.rollout && applied) {
+    state.rollout->swap_finished(it.target, static_cast<std::uint64_t>(version));
+  } else if (state.rollout) {
+    state.rollout->swap_failed(it.target, context_.now(), context_.random);
   }
 }
 
@@ -153,11 +229,17 @@
   record(events::event_number::order_sent, shard, it.what);
   net::http_callbacks callbacks;
   callbacks.on_reply = [this, shard, what = it.what](const net::http_reply& reply) {
-    const bool refused = reply.status >= 400 && reply.status < 500;
+    // Any answer settles the order: the engine says whether it loaded the version.
+    const auto reply_body = parse_json(reply.body);
+    const bool definite = reply.status == 200 || (reply.status >= 400 && reply.status < 500) ||
+                          (reply_body && bool_field(reply_body.value(), "applied") == false);
     record(reply.status == 200 ? events::event_number::order_confirmed
                                : events::event_number::order_refused,
            shard, what, "status " + std::to_string(reply.status));
-    finish(shard, what.id, reply.status == 200 || refused);
+    finish(shard, what.id, definite);
+    if (definite) {
+      swap_answered(shard, what, reply.status == 200);
+    }
   };
   callbacks.on_failure = [this, shard, what = it.what](const net::http_failure& failure) {
     record(events::event_number::attempt_failed, shard, what, failure.cause.message);
