Name the figures of a usage report as the intake does

Cause: reports carried "usage" where the intake requires "figures"; every report was refused with 400 and none arrived. Change: the field is named "figures".

--- a/libs/usage/usage_documents.cpp
+++ b/libs/usage/usage_documents.cpp
@@ -187,7 +187,7 @@
   return boragedoor::to_text(json{{"report_id", it.report_id},
                                   {"window", it.window},
                                   {"shard", it.shard},
-                                  {"usage", std::move(rows)}});
+                                  {"figures", std::move(rows)}});
 }
 
 } // namespace boragedoor::usage
