--- a/apps/boragedoor-bench/supply_scenario.cpp
+++ b/apps/boragedoor-bench/supply_scenario.cpp
@@ -28,6 +28,12 @@
 
 namespace {
 
+bool is_scenario(const char* /*flag*/, const std::string& value) {
+  return value == "serving" || value == "supply";
+}
+
+DEFINE_validator(scenario, &is_scenario);
+
 bool listed(const std::string& name) {
   return FLAGS_supply_parts == "all" ||
          ("," + FLAGS_supply_parts + ",").find("," + name + ",") != std::string::npos;
--- a/tests/scaling/endpoint_scaler_test.cpp
+++ b/tests/scaling/endpoint_scaler_test.cpp
@@ -39,7 +39,7 @@
     for (const auto& [name, it] : places) {
       supply.push_back(it);
     }
-    const auto out = policy.decide({requests, harmless, supply, store_down}, now);
+    auto out = policy.decide({requests, harmless, supply, store_down}, now);
     for (const endpoint_order& it : out) {
       auto& place = places[it.data_centre];
       (it.tier == capacity_tier::cheap ? place.cheap : place.standard) = it.count;
