--- a/libs/daemon/endpoint_task.cpp
+++ b/libs/daemon/endpoint_task.cpp
@@ -298,7 +298,7 @@
 }
 
 void endpoint_task::check_incarnation(const chosen_endpoint& endpoint,
-                                      std::function<void(std::optional<bool>)> done) {
+                                      const std::function<void(std::optional<bool>)>& done) {
   // A connection that broke may have been one of several to a process that is gone, so the check
   // uses a new one.
   context_.http.drop_idle(endpoint.target);
--- a/libs/daemon/endpoint_task.h
+++ b/libs/daemon/endpoint_task.h
@@ -50,7 +50,7 @@
   /// Asks an endpoint whether its process is still the one with that incarnation; the answer is
   /// false when it is gone or another one, and nothing when it does not answer.
   void check_incarnation(const chosen_endpoint& endpoint,
-                         std::function<void(std::optional<bool>)> done);
+                         const std::function<void(std::optional<bool>)>& done);
 
   /// The process with that incarnation is gone. The endpoint gets no requests until it has reported
   /// its load again, so that another crash is not taken for the same one.
--- a/tests/daemon/open_call.cpp
+++ b/tests/daemon/open_call.cpp
@@ -88,7 +88,7 @@
 std::vector<std::int64_t> open_call::frame_versions() const {
   std::vector<std::int64_t> list;
   for (const json& it : events()) {
-    if (it.contains("choices") && it["choices"][0]["text"] != "") {
+    if (it.contains("choices") && !it["choices"][0]["text"].get<std::string>().empty()) {
       list.push_back(integer_field(it, "weight_version").value_or(0));
     }
   }
