--- a/libs/daemon/completion_task.cpp
+++ b/libs/daemon/completion_task.cpp
@@ -56,13 +56,13 @@
 completion_task::create(const daemon_context& context, endpoint_task& endpoints, peer_task& peers) {
   BOOST_OUTCOME_TRY(retries, retry::retry_policy::create({}));
   return std::unique_ptr<completion_task>(
-      new completion_task(context, endpoints, peers, std::move(retries)));
+      new completion_task(context, endpoints, peers, retries));
 }
 
 completion_task::completion_task(const daemon_context& context, endpoint_task& endpoints,
                                  peer_task& peers, retry::retry_policy retries)
     : context_(context), endpoints_(endpoints), peers_(peers),
-      timer_(context.loop, [this] { tick(); }), retries_(std::move(retries)),
+      timer_(context.loop, [this] { tick(); }), retries_(retries),
       suspects_(requests::crash_suspects::create()) {
   timer_.start_periodic(tick_period);
   peers_.received().connect(
--- a/libs/daemon/service_task.cpp
+++ b/libs/daemon/service_task.cpp
@@ -48,13 +48,13 @@
                                                            store::store_client& store) {
   BOOST_OUTCOME_TRY(retries, retry::retry_policy::create({}));
   return std::unique_ptr<service_task>(
-      new service_task(context, endpoints, store, std::move(retries)));
+      new service_task(context, endpoints, store, retries));
 }
 
 service_task::service_task(const daemon_context& context, endpoint_task& endpoints,
                            store::store_client& store, retry::retry_policy retries)
     : context_(context), endpoints_(endpoints), store_(store),
-      timer_(context.loop, [this] { tick(); }), retries_(std::move(retries)),
+      timer_(context.loop, [this] { tick(); }), retries_(retries),
       once_(requests::once_table::create(context.settings.instance.id, context.boot_id)) {
   timer_.start_periodic(tick_period);
 }
