Take the linter's findings and split the acceptance of links

Cause: the linter named copies of parameters, moves without effect and one repeated branch; the acceptance of a link from another instance was one function of 50 lines. Change: references instead of copies; peer_task keeps what it knows of an incoming link in a struct. Conclusion: behaviour as before.

--- a/libs/daemon/completion_task.cpp
+++ b/libs/daemon/completion_task.cpp
@@ -55,8 +55,7 @@
 result<std::unique_ptr<completion_task>>
 completion_task::create(const daemon_context& context, endpoint_task& endpoints, peer_task& peers) {
   BOOST_OUTCOME_TRY(retries, retry::retry_policy::create({}));
-  return std::unique_ptr<completion_task>(
-      new completion_task(context, endpoints, peers, retries));
+  return std::unique_ptr<completion_task>(new completion_task(context, endpoints, peers, retries));
 }
 
 completion_task::completion_task(const daemon_context& context, endpoint_task& endpoints,
--- a/libs/daemon/daemon.cpp
+++ b/libs/daemon/daemon.cpp
@@ -80,9 +80,9 @@
   net::http_limits limits;
   limits.max_header_bytes = settings.limits.max_header_bytes;
   limits.max_body_bytes = settings.limits.max_body_bytes;
-  BOOST_OUTCOME_TRY(listening,
-                    net::http_server::listen(loop, settings.listen.callers, limits,
-                                             [this](exchange_ptr exchange) { route(exchange); }));
+  BOOST_OUTCOME_TRY(listening, net::http_server::listen(
+                                   loop, settings.listen.callers, limits,
+                                   [this](const exchange_ptr& exchange) { route(exchange); }));
   server = std::move(listening);
   context = std::make_unique<daemon_context>(daemon_context{
       loop, http, settings, *log, metrics, random, server->local_address(), boot_id});
@@ -132,7 +132,7 @@
   announcements->learned().connect([this](const announcement& it) {
     constexpr std::string_view prefix = "draining/";
     const bool is_own = it.name == "draining/" + settings.instance.id;
-    if (is_own && !drain->is_draining() && it.value != json(nullptr)) {
+    if (is_own && !drain->is_draining() && !it.value.is_null()) {
       // A former process of this instance drained; this one serves.
       announcements->announce({it.name, it.number + 1, nullptr});
     } else if (it.name.starts_with(prefix)) {
--- a/libs/daemon/peer_task.cpp
+++ b/libs/daemon/peer_task.cpp
@@ -27,7 +27,7 @@
   peer_task* plain = task.get();
   auto listener = peer::peer_listener::listen(
       context.loop, context.settings.listen.peers,
-      [plain](std::shared_ptr<peer::peer_link> link) { plain->accept(std::move(link)); });
+      [plain](const std::shared_ptr<peer::peer_link>& link) { plain->accept(link); });
   if (!listener) {
     return listener.error();
   }
@@ -132,61 +132,48 @@
   }
 }
 
-void peer_task::accept(std::shared_ptr<peer::peer_link> link) {
+void peer_task::accept(const std::shared_ptr<peer::peer_link>& link) {
   unnamed_.insert(link);
-  auto* plain = link.get();
-  const auto name = std::make_shared<std::string>();
-  const auto is_neighbour = std::make_shared<bool>(false);
+  const auto it = std::make_shared<incoming_link>();
+  it->link = link;
   peer::peer_link::callbacks handlers;
-  handlers.on_message = [this, plain, name, is_neighbour](const json& message) {
-    const auto type = string_field(message, field_type).value_or("");
-    const auto self = plain;
-    if (type == "hello") {
-      *name = string_field(message, "instance").value_or("");
-      return;
-    }
-    if (name->empty()) {
-      return;
-    }
-    if (type == "call") {
-      // A link for calls never becomes a neighbour link.
-      for (const auto& it : unnamed_) {
-        if (it.get() == self) {
-          receive_request(it, *name, message);
-          return;
-        }
-      }
-      const auto found = links_.find(*name);
-      if (found != links_.end()) {
-        receive_request(found->second.link, *name, message);
-      }
-      return;
-    }
-    if (!*is_neighbour) {
-      *is_neighbour = true;
-      for (const auto& it : unnamed_) {
-        if (it.get() == self) {
-          const auto keep = it;
-          unnamed_.erase(keep);
-          if (const auto old = links_.find(*name); old != links_.end()) {
-            count(*old->second.link);
-            old->second.link->close();
-          }
-          attach(*name, keep);
-          break;
-        }
-      }
-    }
-    on_neighbour_message(*name, message);
-  };
-  handlers.on_closed = [this, plain, name](bool /*refused*/) {
-    if (std::erase_if(unnamed_, [plain](const auto& it) { return it.get() == plain; }) == 0) {
-      on_neighbour_closed(*name, plain);
+  handlers.on_message = [this, it](const json& message) { on_incoming(*it, message); };
+  const auto* plain = link.get();
+  handlers.on_closed = [this, plain, it](bool /*refused*/) {
+    if (std::erase_if(unnamed_, [plain](const auto& each) { return each.get() == plain; }) == 0) {
+      on_neighbour_closed(it->peer, plain);
     }
   };
   link->start(std::move(handlers));
 }
 
+void peer_task::on_incoming(incoming_link& it, const json& message) {
+  const auto type = string_field(message, field_type).value_or("");
+  if (type == "hello") {
+    it.peer = string_field(message, "instance").value_or("");
+    return;
+  }
+  const auto link = it.link.lock();
+  if (!link || it.peer.empty()) {
+    return;
+  }
+  // A link for calls never becomes a neighbour link.
+  if (type == "call") {
+    receive_request(link, it.peer, message);
+    return;
+  }
+  if (!it.is_neighbour) {
+    it.is_neighbour = true;
+    unnamed_.erase(link);
+    if (const auto old = links_.find(it.peer); old != links_.end()) {
+      count(*old->second.link);
+      old->second.link->close();
+    }
+    attach(it.peer, link);
+  }
+  on_neighbour_message(it.peer, message);
+}
+
 void peer_task::attach(const std::string& id, const std::shared_ptr<peer::peer_link>& link) {
   links_[id] = {link, id, true};
   events::event it;
--- a/libs/daemon/peer_task.h
+++ b/libs/daemon/peer_task.h
@@ -78,6 +78,13 @@
     std::string peer;
     bool open = false;
   };
+  /// A link that another instance opened.
+  struct incoming_link {
+    std::weak_ptr<peer::peer_link> link;
+    /// Empty until the other side has said who it is.
+    std::string peer;
+    bool is_neighbour = false;
+  };
   /// A connection for calls to one address.
   struct caller {
     std::shared_ptr<peer::peer_link> link;
@@ -91,7 +98,8 @@
     time_point deadline;
   };
 
-  void accept(std::shared_ptr<peer::peer_link> link);
+  void accept(const std::shared_ptr<peer::peer_link>& link);
+  void on_incoming(incoming_link& it, const json& message);
   void tick();
   void connect_missing();
   void attach(const std::string& id, const std::shared_ptr<peer::peer_link>& link);
--- a/libs/daemon/service_task.cpp
+++ b/libs/daemon/service_task.cpp
@@ -47,8 +47,7 @@
                                                            endpoint_task& endpoints,
                                                            store::store_client& store) {
   BOOST_OUTCOME_TRY(retries, retry::retry_policy::create({}));
-  return std::unique_ptr<service_task>(
-      new service_task(context, endpoints, store, retries));
+  return std::unique_ptr<service_task>(new service_task(context, endpoints, store, retries));
 }
 
 service_task::service_task(const daemon_context& context, endpoint_task& endpoints,
--- a/libs/daemon/trainer_task.cpp
+++ b/libs/daemon/trainer_task.cpp
@@ -132,12 +132,10 @@
 
 void trainer_task::after_recovery(const std::string& trainer, std::function<void()> fn) {
   const auto held = held_.find(trainer);
-  if (held == held_.end()) {
-    fn();
-  } else if (held->second.recovered) {
-    fn();
-  } else {
+  if (held != held_.end() && !held->second.recovered) {
     held->second.waiting.push_back(std::move(fn));
+  } else {
+    fn();
   }
 }
 
--- a/libs/peer/websocket_session.cpp
+++ b/libs/peer/websocket_session.cpp
@@ -26,16 +26,17 @@
     endpoint_.clear_error_channels(websocketpp::log::elevel::all);
     endpoint_.set_max_message_size(max_message_bytes);
     endpoint_.set_write_handler(
-        [this](websocketpp::connection_hdl, const char* data, std::size_t n) {
+        [this](const websocketpp::connection_hdl&, const char* data, std::size_t n) {
           callbacks_.on_output(data, n);
           return websocketpp::lib::error_code();
         });
-    endpoint_.set_open_handler([this](websocketpp::connection_hdl) { callbacks_.on_open(); });
-    endpoint_.set_message_handler([this](websocketpp::connection_hdl, message_ptr message) {
+    endpoint_.set_open_handler(
+        [this](const websocketpp::connection_hdl&) { callbacks_.on_open(); });
+    endpoint_.set_message_handler([this](const websocketpp::connection_hdl&, message_ptr message) {
       callbacks_.on_message(message->get_payload());
     });
-    endpoint_.set_close_handler([this](websocketpp::connection_hdl) { report_closed(); });
-    endpoint_.set_fail_handler([this](websocketpp::connection_hdl) { report_closed(); });
+    endpoint_.set_close_handler([this](const websocketpp::connection_hdl&) { report_closed(); });
+    endpoint_.set_fail_handler([this](const websocketpp::connection_hdl&) { report_closed(); });
   }
 
   Endpoint& endpoint() { return endpoint_; }
--- a/libs/store/store_client.cpp
+++ b/libs/store/store_client.cpp
@@ -81,7 +81,7 @@
     : loop_(loop), http_(http), target_(std::move(target)) {}
 
 void store_client::call(const char* kind, std::string method, std::string path, std::string body,
-                        duration timeout, reply_handler done) {
+                        duration timeout, const reply_handler& done) {
   ++calls_[kind];
   net::http_call_spec spec;
   spec.target = target_;
@@ -111,7 +111,8 @@
   }
 }
 
-void store_client::get(std::string key, std::function<void(result<std::optional<entry>>)> done) {
+void store_client::get(const std::string& key,
+                       std::function<void(result<std::optional<entry>>)> done) {
   call("get", "GET", "/kv/" + net::encode_path(key), "", call_timeout,
        [done = std::move(done)](const result<net::http_reply>& reply, bool /*nothing_sent*/) {
          if (!reply) {
@@ -128,7 +129,7 @@
        });
 }
 
-void store_client::list(std::string prefix, std::function<void(result<listing>)> done) {
+void store_client::list(const std::string& prefix, std::function<void(result<listing>)> done) {
   call("list", "GET", "/kv?prefix=" + net::encode_component(prefix), "", call_timeout,
        [done = std::move(done)](const result<net::http_reply>& reply, bool /*nothing_sent*/) {
          if (!reply) {
@@ -141,7 +142,7 @@
        });
 }
 
-void store_client::watch(std::string prefix, std::uint64_t after, duration wait,
+void store_client::watch(const std::string& prefix, std::uint64_t after, duration wait,
                          std::function<void(result<listing>)> done) {
   const auto wait_ms = std::chrono::duration_cast<milliseconds>(wait).count();
   call("watch", "GET",
@@ -212,7 +213,7 @@
   });
 }
 
-void store_client::remove(std::string key, std::optional<std::uint64_t> expect_version,
+void store_client::remove(const std::string& key, std::optional<std::uint64_t> expect_version,
                           std::function<void(write_result)> done) {
   std::string path = "/kv/" + net::encode_path(key);
   if (expect_version) {
--- a/libs/store/store_client.h
+++ b/libs/store/store_client.h
@@ -61,12 +61,12 @@
   store_client(net::event_loop& loop, net::http_client& http, net::address target);
 
   /// Reads a key; an empty optional means that it does not exist.
-  void get(std::string key, std::function<void(result<std::optional<entry>>)> done);
-  void list(std::string prefix, std::function<void(result<listing>)> done);
+  void get(const std::string& key, std::function<void(result<std::optional<entry>>)> done);
+  void list(const std::string& prefix, std::function<void(result<listing>)> done);
 
   /// Waits for changes after a revision. Fails with `not_found` when the history is gone, and the
   /// caller must list again.
-  void watch(std::string prefix, std::uint64_t after, duration wait,
+  void watch(const std::string& prefix, std::uint64_t after, duration wait,
              std::function<void(result<listing>)> done);
 
   void write(write_request request, std::function<void(write_result)> done);
@@ -75,7 +75,7 @@
   /// must be unique to this write: reading it back proves that the write took effect.
   void write_settled(write_request request, std::function<void(write_result)> done);
 
-  void remove(std::string key, std::optional<std::uint64_t> expect_version,
+  void remove(const std::string& key, std::optional<std::uint64_t> expect_version,
               std::function<void(write_result)> done);
 
   void create_lease(duration ttl, std::function<void(result<std::string>)> done);
@@ -94,7 +94,7 @@
   using reply_handler = std::function<void(result<net::http_reply>, bool nothing_sent)>;
 
   void call(const char* kind, std::string method, std::string path, std::string body,
-            duration timeout, reply_handler done);
+            duration timeout, const reply_handler& done);
   void note_availability(bool available);
   void read_back(write_request request, int attempts_left, std::function<void(write_result)> done);
 
--- a/tests/daemon/guarantees_requests_test.cpp
+++ b/tests/daemon/guarantees_requests_test.cpp
@@ -25,7 +25,7 @@
                           const std::string& key) {
   const auto whole = open_call::whole(cluster, 0, prompt, long_length, key);
   REQUIRE(cluster.await([&] { return whole.done(); }));
-  const std::string text = text_of(whole.answer());
+  std::string text = text_of(whole.answer());
   REQUIRE_FALSE(text.empty());
   return text;
 }
