--- a/libs/daemon/trainer_task.cpp
+++ b/libs/daemon/trainer_task.cpp
@@ -301,33 +301,30 @@
   }
 }
 
+void trainer_task::feed(const step_id& step, std::uint64_t token, const feed_function& fn) {
+  // An answer that belongs to an earlier hold of the shard must not reach a later ledger.
+  const auto held = held_.find(step.first);
+  auto* ledger = find(step);
+  if (ledger != nullptr && held != held_.end() && held->second.token == token) {
+    run(step, fn(*ledger));
+  }
+}
+
 void trainer_task::carry_out(const step_id& step, const store_put& it) {
   store_.run(it, [this, step, token = held_[step.first].token](const store_write_result& done) {
-    const auto held = held_.find(step.first);
-    auto* ledger = find(step);
-    if (ledger != nullptr && held != held_.end() && held->second.token == token) {
-      run(step, ledger->finish_write(context_.now(), done));
-    }
+    feed(step, token, [&](auto& ledger) { return ledger.finish_write(context_.now(), done); });
   });
 }
 
 void trainer_task::carry_out(const step_id& step, const store_delete& it) {
   store_.run(it, [this, step, token = held_[step.first].token](const store_write_result& done) {
-    const auto held = held_.find(step.first);
-    auto* ledger = find(step);
-    if (ledger != nullptr && held != held_.end() && held->second.token == token) {
-      run(step, ledger->finish_write(context_.now(), done));
-    }
+    feed(step, token, [&](auto& ledger) { return ledger.finish_write(context_.now(), done); });
   });
 }
 
 void trainer_task::carry_out(const step_id& step, const store_get& it) {
   store_.run(it, [this, step, token = held_[step.first].token](const store_read_result& done) {
-    const auto held = held_.find(step.first);
-    auto* ledger = find(step);
-    if (ledger != nullptr && held != held_.end() && held->second.token == token) {
-      run(step, ledger->finish_read(context_.now(), done));
-    }
+    feed(step, token, [&](auto& ledger) { return ledger.finish_read(context_.now(), done); });
   });
 }
 
--- a/libs/daemon/trainer_task.h
+++ b/libs/daemon/trainer_task.h
@@ -73,6 +73,10 @@
   ledger::step_ledger& find_or_create(const step_id& step);
   [[nodiscard]] std::uint64_t version_of(const std::string& trainer) const;
 
+  using feed_function = std::function<ledger::actions(ledger::step_ledger&)>;
+
+  /// Runs what `fn` makes of a step's ledger, if the shard is still held under that token.
+  void feed(const step_id& step, std::uint64_t token, const feed_function& fn);
   void run(const step_id& step, const ledger::actions& actions);
   void carry_out(const step_id& step, const store_put& it);
   void carry_out(const step_id& step, const store_get& it);
--- a/libs/daemon/usage_task.cpp
+++ b/libs/daemon/usage_task.cpp
@@ -202,33 +202,33 @@
   }
 }
 
-void usage_task::carry_out(std::uint32_t shard, const store_put& it) {
+void usage_task::feed(std::uint32_t shard, std::uint64_t token, const feed_function& fn) {
+  // An answer that belongs to an earlier hold of the shard must not reach a later window.
+  if (auto* held = find(shard); held != nullptr && held->token == token) {
+    run(shard, fn(held->state));
+  }
+}
+
+std::uint64_t usage_task::token_of(std::uint32_t shard) {
   const auto* held = find(shard);
-  const std::uint64_t token = held == nullptr ? 0 : held->token;
-  store_.run(it, [this, shard, token](const store_write_result& done) {
-    if (auto* open = find(shard); open != nullptr && open->token == token) {
-      run(shard, open->state.finish_write(context_.now(), done));
-    }
+  return held == nullptr ? 0 : held->token;
+}
+
+void usage_task::carry_out(std::uint32_t shard, const store_put& it) {
+  store_.run(it, [this, shard, token = token_of(shard)](const store_write_result& done) {
+    feed(shard, token, [&](auto& window) { return window.finish_write(context_.now(), done); });
   });
 }
 
 void usage_task::carry_out(std::uint32_t shard, const store_delete& it) {
-  const auto* held = find(shard);
-  const std::uint64_t token = held == nullptr ? 0 : held->token;
-  store_.run(it, [this, shard, token](const store_write_result& done) {
-    if (auto* open = find(shard); open != nullptr && open->token == token) {
-      run(shard, open->state.finish_write(context_.now(), done));
-    }
+  store_.run(it, [this, shard, token = token_of(shard)](const store_write_result& done) {
+    feed(shard, token, [&](auto& window) { return window.finish_write(context_.now(), done); });
   });
 }
 
 void usage_task::carry_out(std::uint32_t shard, const store_get& it) {
-  const auto* held = find(shard);
-  const std::uint64_t token = held == nullptr ? 0 : held->token;
-  store_.run(it, [this, shard, token](const store_read_result& done) {
-    if (auto* open = find(shard); open != nullptr && open->token == token) {
-      run(shard, open->state.finish_read(context_.now(), done));
-    }
+  store_.run(it, [this, shard, token = token_of(shard)](const store_read_result& done) {
+    feed(shard, token, [&](auto& window) { return window.finish_read(context_.now(), done); });
   });
 }
 
--- a/libs/daemon/usage_task.h
+++ b/libs/daemon/usage_task.h
@@ -49,6 +49,11 @@
   void tick();
   void send_flush(const usage::usage_flush& it);
   void take_flush(const json& request, const peer_task::answer_function& answer);
+  using feed_function = std::function<usage::actions(usage::usage_window&)>;
+
+  /// Runs what `fn` makes of a shard's window, if the shard is still held under that token.
+  void feed(std::uint32_t shard, std::uint64_t token, const feed_function& fn);
+  std::uint64_t token_of(std::uint32_t shard);
   void run(std::uint32_t shard, const usage::actions& actions);
   void carry_out(std::uint32_t shard, const store_put& it);
   void carry_out(std::uint32_t shard, const store_get& it);
