--- a/libs/daemon/completion_task.cpp
+++ b/libs/daemon/completion_task.cpp
@@ -34,6 +34,7 @@
   std::vector<routing::prefix_hash> prefix;
   std::unique_ptr<engine_attempt> attempt;
   std::optional<chosen_endpoint> endpoint;
+  time_point submitted;
   time_point attempt_started;
   time_point busy_since;
   duration endpoint_time{};
@@ -131,6 +132,7 @@
 std::uint64_t completion_task::submit(completion_spec spec, completion_callbacks callbacks) {
   auto it = std::make_shared<active_completion>(std::move(spec), std::move(callbacks));
   it->number = ++last_number_;
+  it->submitted = context_.now();
   active_[it->number] = it;
   if (suspects_.quarantined(context_.now(), it->fingerprint)) {
     record(events::event_number::request_quarantined, *it);
@@ -341,6 +343,9 @@
     return;
   }
   it->maybe_executed = true;
+  if (relayed->index == 0) {
+    measure("boragedoor_first_token_seconds", "Time from a request to its first token", *it);
+  }
   controller(it->spec.pool)
       .progress(it->number, static_cast<int>(it->relay.frames()), context_.now());
   if (it->callbacks.on_token) {
@@ -368,6 +373,7 @@
   whole.prompt_tokens = completion.prompt_tokens;
   whole.completion_tokens = it->relay.frames();
   record(events::event_number::request_finished, *it, {{"tokens", whole.completion_tokens}});
+  measure("boragedoor_completion_seconds", "Time from a request to its whole answer", *it);
   const auto fn = std::move(it->callbacks.on_complete);
   remove(it, true);
   if (fn) {
@@ -519,6 +525,13 @@
   context_.record(std::move(entry));
 }
 
+void completion_task::measure(const char* name, const char* help,
+                              const active_completion& it) const {
+  const std::chrono::duration<double> passed = context_.now() - it.submitted;
+  context_.metrics.get_distribution(name, help, {{"class", it.spec.request_class}})
+      .add(passed.count());
+}
+
 retry::executed completion_task::executed_so_far(const active_completion& it) {
   if (it.relay.frames() > 0) {
     return retry::executed::yes;
--- a/libs/daemon/completion_task.h
+++ b/libs/daemon/completion_task.h
@@ -117,6 +117,7 @@
   void on_peer_message(const std::string& peer, const json& message);
   void share_suspects(const std::vector<requests::crash_record>& records,
                       const std::string& except);
+  void measure(const char* name, const char* help, const active_completion& it) const;
   [[nodiscard]] std::vector<std::string> running_on(const std::string& endpoint) const;
   [[nodiscard]] std::vector<std::string> endpoints_to_avoid(const active_completion& it) const;
   [[nodiscard]] static retry::executed executed_so_far(const active_completion& it);
--- a/tests/daemon/whole_path_test.cpp
+++ b/tests/daemon/whole_path_test.cpp
@@ -30,6 +30,9 @@
     INFO(answer.body);
     REQUIRE(answer.status == 200);
     CHECK(answer.value()["weight_versions"] == json::array({1}));
+    const auto page = cluster.call(cluster.address_of(0), "GET", "/metrics");
+    CHECK(page.body.find("boragedoor_first_token_seconds_count{class=\"lookup\"} 1\n") !=
+          std::string::npos);
     CHECK(answer.value()["usage"]["completion_tokens"] > 0);
   }
 
