--- a/tests/freshness/weight_rollout_test.cpp
+++ b/tests/freshness/weight_rollout_test.cpp
@@ -137,7 +137,7 @@
       policy.put(it);
       policy.swap_failed(it.id, now, random);
       // The backoff is never over at once, and never longer than twice the longest delay.
-      const auto at_once = policy.decide(now, random);
+      auto at_once = policy.decide(now, random);
       if (i < 3) {
         REQUIRE(at_once.empty());
         now += seconds(16);
