Reserve the arguments of a started program

Cause: the full lint run named a vector that grows in a loop. Change: it reserves its size. Conclusion: the test is the same; a full lint run over all files has no other finding left.

--- a/tests/standin/program_test.cpp
+++ b/tests/standin/program_test.cpp
@@ -22,6 +22,7 @@
     REQUIRE(folder != nullptr);
     arguments.insert(arguments.begin(), std::string(folder) + "/boragedoor-standin");
     std::vector<char*> pointers;
+    pointers.reserve(arguments.size() + 1);
     for (std::string& it : arguments) {
       pointers.push_back(it.data());
     }
