--- a/cmake/boragedoor_targets.cmake
+++ b/cmake/boragedoor_targets.cmake
@@ -1,7 +1,10 @@
 # Compile options that every target of this repository shares.
 add_library(boragedoor_options INTERFACE)
 target_compile_options(boragedoor_options INTERFACE
-  -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Wnon-virtual-dtor -Werror)
+  -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Wnon-virtual-dtor)
+if(BORAGEDOOR_WARNINGS_AS_ERRORS)
+  target_compile_options(boragedoor_options INTERFACE -Werror)
+endif()
 if(BORAGEDOOR_SANITIZE)
   target_compile_options(boragedoor_options INTERFACE
     -fsanitize=address,undefined -fno-sanitize-recover=undefined -fno-omit-frame-pointer)
--- /dev/null
+++ b/libs/duties/weight_schedule.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/time.h"
+
+namespace boragedoor::duties {
+
+/// An engine as the registry and its reports describe it. It may hold several models.
+struct engine_state {
+  std::string id;
+  /// Requests running or waiting there.
+  int load = 0;
+  std::map<std::string, std::uint64_t, std::less<>> versions;
+};
+
+/// An order to load a version of a model.
+struct load_order {
+  std::string engine;
+  std::string model;
+  std::uint64_t version = 0;
+
+  friend bool operator==(const load_order&, const load_order&) = default;
+};
+
+struct weight_schedule_options {
+  /// Engines that load at the same time; more slow each other down.
+  std::size_t least_at_once = 2;
+  double share_at_once = 0.22;
+  /// A load that has not shown by then is ordered again. Loads take about one second.
+  duration load_timeout = seconds(4);
+  /// Wait after an order that was refused.
+  duration retry_delay = milliseconds(500);
+};
+
+/// Decides which engines load new weights now. The engines that lag most go first, because the next
+/// step cannot use them; among equals, the least loaded.
+class weight_schedule {
+public:
+  explicit weight_schedule(const weight_schedule_options& options = {}) : options_(options) {}
+
+  /// Takes a named version; older ones than the newest are ignored.
+  void name(std::string_view model, std::uint64_t version);
+  [[nodiscard]] std::uint64_t newest(std::string_view model) const;
+
+  /// The orders to send now; they are taken for sent.
+  std::vector<load_order> decide(const std::vector<engine_state>& engines, time_point now);
+  /// The engine holds the version, by its own word.
+  void loaded(std::string_view engine, std::string_view model, std::uint64_t version);
+  /// The order was refused or got no answer: the engine is tried again after a delay.
+  void failed(std::string_view engine, time_point now);
+  [[nodiscard]] bool is_loading(std::string_view engine) const { return loading_.contains(engine); }
+
+private:
+  struct load {
+    load_order order;
+    time_point since{};
+  };
+
+  weight_schedule_options options_;
+  std::map<std::string, std::uint64_t, std::less<>> newest_;
+  std::map<std::string, load, std::less<>> loading_;
+  std::map<std::string, time_point, std::less<>> not_before_;
+};
+
+} // namespace boragedoor::duties
--- a/libs/events/catalogue.h
+++ b/libs/events/catalogue.h
@@ -19,6 +19,8 @@
   drain_finished = 1004,
   instance_isolated = 1005,
   instance_evidence_restored = 1006,
+  instance_retired = 1007,
+  settings_reloaded = 1008,
 
   configuration_applied = 1101,
   configuration_proposed = 1102,
@@ -63,6 +65,15 @@
   weights_announced = 1606,
   weights_swapped = 1607,
   weights_swap_failed = 1608,
+  job_accepted = 1611,
+  job_ended = 1612,
+  job_taken_over = 1613,
+  job_refused = 1614,
+  item_started = 1615,
+  item_ended = 1616,
+  item_scored = 1617,
+  results_listed = 1618,
+  results_read = 1619,
 
   usage_window_frozen = 1701,
   usage_window_reported = 1702,
@@ -72,6 +83,7 @@
   store_available = 1802,
   store_readback = 1803,
   store_document_damaged = 1804,
+  store_call_failed = 1805,
 };
 
 /// What the catalogue says about one event.
--- a/libs/events/event_log.cpp
+++ b/libs/events/event_log.cpp
@@ -14,6 +14,9 @@
     if (options.path == "-") {
       logger = std::make_shared<spdlog::logger>("events",
                                                 std::make_shared<spdlog::sinks::stderr_sink_st>());
+    } else if (options.path == "stdout") {
+      logger = std::make_shared<spdlog::logger>("events",
+                                                std::make_shared<spdlog::sinks::stdout_sink_st>());
     } else if (!options.path.empty()) {
       logger = std::make_shared<spdlog::logger>(
           "events", std::make_shared<spdlog::sinks::basic_file_sink_st>(options.path));
--- a/libs/events/event_log.h
+++ b/libs/events/event_log.h
@@ -19,7 +19,8 @@
 struct event_log_options {
   std::string instance;
   std::string boot;
-  /// File that receives JSON lines; "-" is standard error, empty writes none.
+  /// File that receives JSON lines; "-" is standard error, "stdout" standard
+  /// output, empty writes none.
   std::string path;
   /// Events below this severity are neither kept nor written.
   severity least = severity::debug;
--- /dev/null
+++ b/libs/http1/call.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include "http1/message.h"
+
+namespace boragedoor::http1 {
+
+/// How a call ended.
+enum class call_outcome {
+  /// The whole response arrived.
+  complete,
+  /// No connection was made, so the server saw nothing.
+  not_connected,
+  /// The connection was reset or closed before the response was complete.
+  broken,
+  /// No byte arrived within the progress timeout.
+  timed_out,
+  /// The bytes are not a response.
+  malformed,
+};
+
+std::string_view to_string(call_outcome outcome);
+
+struct call_spec {
+  net::address target;
+  request message;
+  duration connect_timeout = seconds(1);
+  /// Longest time without a byte from the server once the connection is made.
+  duration progress_timeout = seconds(5);
+  /// Never uses a kept connection: a server may close one just as the request is sent, and then it
+  /// is not known whether the request ran.
+  bool new_connection = false;
+  /// Larger responses end the call as malformed.
+  std::size_t max_body_bytes = 64UL * 1024 * 1024;
+};
+
+struct call_callbacks {
+  /// Called with the status and the header fields. False skips the response, because it belongs to
+  /// an earlier request, and waits for the next one.
+  std::function<bool(const response&)> on_head;
+  /// Called with each piece of the body; without it the body is collected.
+  std::function<void(std::string_view)> on_data;
+  /// Called once. `it` holds what had arrived, complete or not; its status is 0 without a head.
+  std::function<void(call_outcome outcome, response it)> on_end;
+};
+
+/// A call in progress. Dropping the handle does not cancel it.
+class call {
+public:
+  virtual ~call() = default;
+  call() = default;
+  call(const call&) = delete;
+  call& operator=(const call&) = delete;
+  call(call&&) = delete;
+  call& operator=(call&&) = delete;
+
+  /// Closes the connection; no callback follows.
+  virtual void cancel() = 0;
+};
+
+} // namespace boragedoor::http1
--- /dev/null
+++ b/libs/http1/client.cpp
@@ -0,0 +1,85 @@
+#include "http1/client.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace boragedoor::http1 {
+
+client::client(net::event_loop& loop) : loop_(loop) {
+  pool_.on_idle = [this](const std::shared_ptr<client_connection>& it) {
+    idle_[it->target()].push_back(it);
+  };
+  pool_.on_closed = [this](client_connection& it) {
+    const auto found = open_.find(&it);
+    if (found == open_.end()) {
+      return;
+    }
+    if (const auto list = idle_.find(it.target()); list != idle_.end()) {
+      std::erase_if(list->second, [&](const auto& member) { return member.get() == &it; });
+      if (list->second.empty()) {
+        idle_.erase(list);
+      }
+    }
+    // The connection may be in the middle of a callback of its own.
+    loop_.post([keep = std::move(found->second)] {});
+    open_.erase(found);
+  };
+}
+
+client::~client() {
+  idle_.clear();
+  open_.clear();
+}
+
+std::shared_ptr<client_connection> client::take_idle(const net::address& target) {
+  const auto found = idle_.find(target);
+  if (found == idle_.end()) {
+    return nullptr;
+  }
+  const time_point now = loop_.now();
+  const auto expired = [now](const auto& it) { return now - it->idle_since() > it->keep_for(); };
+  const std::vector<std::shared_ptr<client_connection>> all = found->second;
+  std::shared_ptr<client_connection> newest;
+  for (const auto& it : all) {
+    if (expired(it)) {
+      it->close();
+    } else {
+      newest = it;
+    }
+  }
+  if (newest) {
+    auto& list = idle_[target];
+    std::erase(list, newest);
+    if (list.empty()) {
+      idle_.erase(target);
+    }
+  }
+  return newest;
+}
+
+std::shared_ptr<call> client::send(call_spec spec, call_callbacks callbacks) {
+  std::shared_ptr<client_connection> connection;
+  if (!spec.new_connection) {
+    connection = take_idle(spec.target);
+  }
+  if (!connection) {
+    connection = std::make_shared<client_connection>(loop_, pool_, spec.target);
+    open_.emplace(connection.get(), connection);
+    ++made_;
+  }
+  connection->start(std::move(spec), std::move(callbacks));
+  return connection;
+}
+
+void client::drop_idle(const net::address& target) {
+  const auto found = idle_.find(target);
+  if (found == idle_.end()) {
+    return;
+  }
+  const std::vector<std::shared_ptr<client_connection>> all = found->second;
+  for (const auto& it : all) {
+    it->close();
+  }
+}
+
+} // namespace boragedoor::http1
--- /dev/null
+++ b/libs/http1/client.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "http1/call.h"
+#include "http1/client_connection.h"
+#include "net/event_loop.h"
+
+namespace boragedoor::http1 {
+
+/// HTTP/1.1 client that keeps idle connections for reuse. It never repeats a request.
+class client {
+public:
+  explicit client(net::event_loop& loop);
+  ~client();
+  client(const client&) = delete;
+  client& operator=(const client&) = delete;
+  client(client&&) = delete;
+  client& operator=(client&&) = delete;
+
+  /// Starts a call. Callbacks come from the loop, never before `send` returns.
+  std::shared_ptr<call> send(call_spec spec, call_callbacks callbacks);
+
+  /// Closes the idle connections to a target, for example after one of them went silent.
+  void drop_idle(const net::address& target);
+
+  /// Connections made since the start.
+  [[nodiscard]] std::uint64_t connections_made() const { return made_; }
+
+private:
+  std::shared_ptr<client_connection> take_idle(const net::address& target);
+
+  net::event_loop& loop_;
+  client_connection::owner pool_;
+  std::unordered_map<client_connection*, std::shared_ptr<client_connection>> open_;
+  std::map<net::address, std::vector<std::shared_ptr<client_connection>>> idle_;
+  std::uint64_t made_ = 0;
+};
+
+} // namespace boragedoor::http1
--- /dev/null
+++ b/libs/http1/client_connection.cpp
@@ -0,0 +1,275 @@
+#include "http1/client_connection.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <fmt/format.h>
+
+namespace boragedoor::http1 {
+
+namespace {
+
+/// How long a connection is kept whose server states no time.
+constexpr duration default_keep = seconds(4);
+/// Part of the server's time after which a connection is no longer used: a request that crosses
+/// the server's close is lost.
+constexpr int keep_divisor = 2;
+
+} // namespace
+
+std::string_view to_string(call_outcome outcome) {
+  switch (outcome) {
+  case call_outcome::complete:
+    return "complete";
+  case call_outcome::not_connected:
+    return "not_connected";
+  case call_outcome::broken:
+    return "broken";
+  case call_outcome::timed_out:
+    return "timed_out";
+  case call_outcome::malformed:
+    return "malformed";
+  }
+  return "unknown";
+}
+
+client_connection::client_connection(net::event_loop& loop, const owner& pool, net::address target)
+    : loop_(loop), pool_(pool), target_(std::move(target)), timer_(loop, [this] {
+        const auto keep = shared_from_this();
+        fail(connected_ ? call_outcome::timed_out : call_outcome::not_connected);
+      }) {}
+
+client_connection::~client_connection() {
+  if (bev_ != nullptr) {
+    bufferevent_free(bev_);
+  }
+}
+
+void client_connection::start(call_spec spec, call_callbacks callbacks) {
+  spec_ = std::move(spec);
+  callbacks_ = std::move(callbacks);
+  response_ = {};
+  body_bytes_ = 0;
+  active_ = true;
+  skipping_ = false;
+  message_done_ = false;
+  too_large_ = false;
+  if (bev_ == nullptr) {
+    connect();
+  } else {
+    write_request();
+  }
+}
+
+void client_connection::connect() {
+  parser_ = std::make_unique<parser>(
+      message_kind::response,
+      parser_events{.on_head = [this](const message_head& it) { return take_head(it); },
+                    .on_body = [this](std::string_view data) { take_data(data); },
+                    .on_complete = [this] { message_done_ = true; }});
+  bev_ =
+      bufferevent_socket_new(loop_.native(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  bufferevent_setcb(bev_, &client_connection::on_read, nullptr, &client_connection::on_event, this);
+  sockaddr_in name{};
+  name.sin_family = AF_INET;
+  name.sin_port = htons(target_.port);
+  inet_pton(AF_INET, target_.host.c_str(), &name.sin_addr);
+  timer_.start_once(spec_.connect_timeout);
+  if (bufferevent_socket_connect(bev_, reinterpret_cast<sockaddr*>(&name), sizeof name) != 0) {
+    // The caller must have its handle before it hears of the failure.
+    timer_.start_once(duration::zero());
+  }
+}
+
+void client_connection::write_request() {
+  const request& it = spec_.message;
+  std::string head = fmt::format("{} {} HTTP/1.1\r\n", it.method, it.target);
+  for (const auto& [name, value] : it.headers) {
+    head += fmt::format("{}: {}\r\n", name, value);
+  }
+  if (!it.body.empty() || it.method == "POST" || it.method == "PUT") {
+    head += fmt::format("Content-Length: {}\r\n", it.body.size());
+  }
+  head += "\r\n";
+  if (it.method == "HEAD") {
+    parser_->expect_no_body();
+  }
+  bufferevent_write(bev_, head.data(), head.size());
+  bufferevent_write(bev_, it.body.data(), it.body.size());
+  bufferevent_enable(bev_, EV_READ | EV_WRITE);
+  timer_.start_once(spec_.progress_timeout);
+}
+
+void client_connection::on_read(bufferevent* /*bev*/, void* self) {
+  const auto keep = static_cast<client_connection*>(self)->shared_from_this();
+  keep->read_input();
+}
+
+void client_connection::on_event(bufferevent* bev, short what, void* self) {
+  const auto keep = static_cast<client_connection*>(self)->shared_from_this();
+  if ((what & BEV_EVENT_CONNECTED) != 0) {
+    constexpr int on = 1;
+    setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    keep->connected_ = true;
+    if (keep->active_) {
+      keep->write_request();
+    }
+    return;
+  }
+  if (!keep->connected_) {
+    keep->fail(call_outcome::not_connected);
+    return;
+  }
+  keep->read_input();
+  // Only an orderly close completes a response that has no length.
+  if (keep->active_ && (what & BEV_EVENT_EOF) != 0 && keep->response_.status != 0) {
+    keep->parser_->finish();
+    if (keep->message_done_) {
+      keep->keep_alive_ = false;
+      keep->take_complete();
+      return;
+    }
+  }
+  keep->fail(call_outcome::broken);
+}
+
+void client_connection::read_input() {
+  evbuffer* input = bufferevent_get_input(bev_);
+  if (!active_) {
+    // Bytes that follow a complete response belong to no request.
+    retire();
+    return;
+  }
+  timer_.start_once(spec_.progress_timeout);
+  while (active_) {
+    const std::size_t n = evbuffer_get_contiguous_space(input);
+    if (n == 0) {
+      return;
+    }
+    const auto* text =
+        reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(n)));
+    const std::size_t used = parser_->feed({text, n});
+    if (!active_) {
+      // A callback cancelled the call.
+      return;
+    }
+    if (parser_->failed() || too_large_) {
+      fail(call_outcome::malformed);
+      return;
+    }
+    evbuffer_drain(input, used);
+    if (std::exchange(message_done_, false)) {
+      take_complete();
+    }
+  }
+}
+
+bool client_connection::take_head(const message_head& head) {
+  constexpr int first_final_status = 200;
+  if (head.status < first_final_status) {
+    skipping_ = true;
+    return true;
+  }
+  response_ = {head.status, head.headers, {}};
+  keep_alive_ = head.keep_alive && head.has_length;
+  keep_for_ = default_keep;
+  const std::string_view keep = net::find_header(head.headers, "Keep-Alive");
+  constexpr std::string_view parameter = "timeout=";
+  if (const auto at = keep.find(parameter); at != std::string_view::npos) {
+    const net::headers field = {
+        {"timeout", std::string(keep.substr(at + parameter.size(), keep.find_first_of(", ", at) -
+                                                                       at - parameter.size()))}};
+    if (const auto stated = integer_header(field, "timeout")) {
+      keep_for_ = std::min<duration>(default_keep, seconds(*stated) / keep_divisor);
+    }
+  }
+  skipping_ = callbacks_.on_head && !callbacks_.on_head(response_);
+  return true;
+}
+
+void client_connection::take_data(std::string_view data) {
+  body_bytes_ += data.size();
+  too_large_ = body_bytes_ > spec_.max_body_bytes;
+  if (skipping_ || too_large_) {
+    return;
+  }
+  if (callbacks_.on_data) {
+    callbacks_.on_data(data);
+  } else {
+    response_.body.append(data);
+  }
+}
+
+void client_connection::take_complete() {
+  if (skipping_) {
+    skipping_ = false;
+    response_ = {};
+    body_bytes_ = 0;
+    if (!keep_alive_ && bufferevent_getfd(bev_) < 0) {
+      fail(call_outcome::broken);
+    }
+    return;
+  }
+  // Bytes beyond the response are of no request; such a connection is not used again.
+  const bool reusable = keep_alive_ && evbuffer_get_length(bufferevent_get_input(bev_)) == 0;
+  end(call_outcome::complete);
+  if (!active_) {
+    if (reusable) {
+      idle_since_ = loop_.now();
+      pool_.on_idle(shared_from_this());
+    } else {
+      retire();
+    }
+  }
+}
+
+void client_connection::fail(call_outcome outcome) {
+  const auto keep = shared_from_this();
+  const bool had_call = active_;
+  retire();
+  if (had_call) {
+    end(outcome);
+  }
+}
+
+void client_connection::end(call_outcome outcome) {
+  active_ = false;
+  timer_.cancel();
+  const auto callbacks = std::exchange(callbacks_, {});
+  spec_ = {};
+  if (callbacks.on_end) {
+    callbacks.on_end(outcome, std::exchange(response_, {}));
+  }
+}
+
+void client_connection::cancel() {
+  if (active_) {
+    active_ = false;
+    // The callbacks may be what is running now, so they are released later.
+    loop_.post([keep = shared_from_this(), callbacks = std::exchange(callbacks_, {})] {});
+    retire();
+  }
+}
+
+void client_connection::close() {
+  cancel();
+  retire();
+}
+
+void client_connection::retire() {
+  timer_.cancel();
+  if (bev_ != nullptr) {
+    bufferevent_disable(bev_, EV_READ | EV_WRITE);
+  }
+  pool_.on_closed(*this);
+}
+
+} // namespace boragedoor::http1
--- /dev/null
+++ b/libs/http1/client_connection.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "http1/call.h"
+#include "http1/parser.h"
+#include "net/event_loop.h"
+
+struct bufferevent;
+
+namespace boragedoor::http1 {
+
+/// One connection to a server. It carries one call at a time and may be kept for the next.
+class client_connection : public call, public std::enable_shared_from_this<client_connection> {
+public:
+  /// `on_idle` is called when the connection may carry another call, `on_closed` when it may not.
+  struct owner {
+    std::function<void(const std::shared_ptr<client_connection>&)> on_idle;
+    std::function<void(client_connection&)> on_closed;
+  };
+
+  client_connection(net::event_loop& loop, const owner& pool, net::address target);
+  ~client_connection() override;
+  client_connection(const client_connection&) = delete;
+  client_connection& operator=(const client_connection&) = delete;
+  client_connection(client_connection&&) = delete;
+  client_connection& operator=(client_connection&&) = delete;
+
+  /// Starts a call on an idle connection; the first one opens it.
+  void start(call_spec spec, call_callbacks callbacks);
+  void cancel() override;
+  /// Closes without a callback.
+  void close();
+
+  [[nodiscard]] const net::address& target() const { return target_; }
+  /// When the connection became idle, for its age.
+  [[nodiscard]] time_point idle_since() const { return idle_since_; }
+  /// How long the server keeps it, by the last response.
+  [[nodiscard]] duration keep_for() const { return keep_for_; }
+
+private:
+  static void on_read(bufferevent* bev, void* self);
+  static void on_event(bufferevent* bev, short what, void* self);
+
+  void connect();
+  void write_request();
+  void read_input();
+  bool take_head(const message_head& head);
+  void take_data(std::string_view data);
+  void take_complete();
+  void fail(call_outcome outcome);
+  void end(call_outcome outcome);
+  void retire();
+
+  net::event_loop& loop_;
+  const owner& pool_;
+  net::address target_;
+  bufferevent* bev_ = nullptr;
+  std::unique_ptr<parser> parser_;
+  net::timer timer_;
+  call_spec spec_;
+  call_callbacks callbacks_;
+  response response_;
+  std::size_t body_bytes_ = 0;
+  bool active_ = false;
+  bool connected_ = false;
+  bool skipping_ = false;
+  bool message_done_ = false;
+  bool too_large_ = false;
+  bool keep_alive_ = false;
+  time_point idle_since_{};
+  duration keep_for_{};
+};
+
+} // namespace boragedoor::http1
--- /dev/null
+++ b/libs/http1/exchange.cpp
@@ -0,0 +1,64 @@
+#include "http1/exchange.h"
+
+#include <utility>
+
+#include "http1/server_connection.h"
+
+namespace boragedoor::http1 {
+
+exchange::exchange(std::weak_ptr<server_connection> connection, request received, std::string peer)
+    : connection_(std::move(connection)), received_(std::move(received)), peer_(std::move(peer)) {}
+
+exchange::~exchange() {
+  if (!done_) {
+    abort();
+  }
+}
+
+bool exchange::is_open() const {
+  return !done_ && !connection_.expired();
+}
+
+void exchange::respond(const response& it) {
+  if (const auto to = connection_.lock(); to && !done_) {
+    done_ = true;
+    to->send_whole(it);
+  }
+}
+
+void exchange::start(const response& it) {
+  if (const auto to = connection_.lock(); to && !done_) {
+    to->send_start(it);
+  }
+}
+
+void exchange::send_chunk(std::string_view data) {
+  if (const auto to = connection_.lock(); to && !done_ && !data.empty()) {
+    to->send_chunk(data);
+  }
+}
+
+void exchange::finish() {
+  if (const auto to = connection_.lock(); to && !done_) {
+    done_ = true;
+    to->send_end();
+  }
+}
+
+void exchange::abort() {
+  done_ = true;
+  if (const auto to = connection_.lock()) {
+    to->close();
+  }
+}
+
+void exchange::caller_left() {
+  if (std::exchange(done_, true)) {
+    return;
+  }
+  if (const auto fn = std::exchange(left_, nullptr)) {
+    fn();
+  }
+}
+
+} // namespace boragedoor::http1
--- /dev/null
+++ b/libs/http1/parser.cpp
@@ -0,0 +1,139 @@
+#include "http1/parser.h"
+
+#include <utility>
+
+#include <http_parser.h>
+
+#include "http1/message.h"
+
+namespace boragedoor::http1 {
+
+struct parser::impl {
+  http_parser state{};
+  http_parser_settings settings{};
+  parser_events events;
+  message_kind kind = message_kind::request;
+  message_head head;
+  bool in_value = false;
+  bool no_body = false;
+  bool refused = false;
+
+  static impl& of(http_parser* it) { return *static_cast<impl*>(it->data); }
+
+  static int on_begin(http_parser* it) {
+    of(it).head = {};
+    of(it).in_value = false;
+    return 0;
+  }
+  static int on_url(http_parser* it, const char* at, std::size_t n) {
+    of(it).head.target.append(at, n);
+    return 0;
+  }
+  static int on_field(http_parser* it, const char* at, std::size_t n) {
+    impl& self = of(it);
+    if (self.in_value || self.head.headers.empty()) {
+      self.head.headers.emplace_back();
+      self.in_value = false;
+    }
+    self.head.headers.back().first.append(at, n);
+    return 0;
+  }
+  static int on_value(http_parser* it, const char* at, std::size_t n) {
+    impl& self = of(it);
+    // Trailer fields arrive after the head was reported; they are dropped.
+    if (self.head.headers.empty()) {
+      return 0;
+    }
+    self.in_value = true;
+    self.head.headers.back().second.append(at, n);
+    return 0;
+  }
+  static int on_headers(http_parser* it) {
+    // Return values of http_parser: 1 means that no body follows, others than 0 are errors.
+    constexpr int parse_body = 0;
+    constexpr int skip_body = 1;
+    constexpr int refuse = -1;
+    impl& self = of(it);
+    message_head& head = self.head;
+    head.status = static_cast<int>(it->status_code);
+    if (self.kind == message_kind::request) {
+      head.method = http_method_str(static_cast<http_method>(it->method));
+    }
+    head.keep_alive = http_should_keep_alive(it) != 0;
+    head.has_length = (it->flags & (F_CONTENTLENGTH | F_CHUNKED)) != 0;
+    for (const auto& [name, value] : head.headers) {
+      if (!is_valid_header(name, value)) {
+        self.refused = true;
+        return refuse;
+      }
+    }
+    if (self.events.on_head && !self.events.on_head(head)) {
+      self.refused = true;
+      return refuse;
+    }
+    return self.no_body ? skip_body : parse_body;
+  }
+  static int on_body(http_parser* it, const char* at, std::size_t n) {
+    if (of(it).events.on_body) {
+      of(it).events.on_body({at, n});
+    }
+    return 0;
+  }
+  static int on_complete(http_parser* it) {
+    impl& self = of(it);
+    self.no_body = false;
+    http_parser_pause(it, 1);
+    if (self.events.on_complete) {
+      self.events.on_complete();
+    }
+    return 0;
+  }
+};
+
+parser::parser(message_kind kind, parser_events events) : impl_(std::make_unique<impl>()) {
+  impl_->kind = kind;
+  impl_->events = std::move(events);
+  http_parser_init(&impl_->state, kind == message_kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
+  http_parser_settings_init(&impl_->settings);
+  impl_->state.data = impl_.get();
+  impl_->settings.on_message_begin = &impl::on_begin;
+  impl_->settings.on_url = &impl::on_url;
+  impl_->settings.on_header_field = &impl::on_field;
+  impl_->settings.on_header_value = &impl::on_value;
+  impl_->settings.on_headers_complete = &impl::on_headers;
+  impl_->settings.on_body = &impl::on_body;
+  impl_->settings.on_message_complete = &impl::on_complete;
+}
+
+parser::~parser() = default;
+
+std::size_t parser::feed(std::string_view data) {
+  if (HTTP_PARSER_ERRNO(&impl_->state) == HPE_PAUSED) {
+    http_parser_pause(&impl_->state, 0);
+  }
+  return http_parser_execute(&impl_->state, &impl_->settings, data.data(), data.size());
+}
+
+void parser::finish() {
+  if (!failed()) {
+    http_parser_execute(&impl_->state, &impl_->settings, nullptr, 0);
+  }
+}
+
+void parser::expect_no_body() {
+  impl_->no_body = true;
+}
+
+bool parser::failed() const {
+  const auto ec = HTTP_PARSER_ERRNO(&impl_->state);
+  return ec != HPE_OK && ec != HPE_PAUSED;
+}
+
+std::string parser::error_text() const {
+  if (impl_->refused) {
+    return "the header fields are ambiguous or not allowed";
+  }
+  return http_errno_description(HTTP_PARSER_ERRNO(&impl_->state));
+}
+
+} // namespace boragedoor::http1
--- /dev/null
+++ b/libs/http1/server.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "base/result.h"
+#include "http1/exchange.h"
+#include "http1/server_connection.h"
+#include "net/event_loop.h"
+
+struct evconnlistener;
+
+namespace boragedoor::http1 {
+
+/// HTTP/1.1 server on one address.
+class server {
+public:
+  using handler = std::function<void(std::shared_ptr<exchange>)>;
+  using refusal = std::function<response(int status, std::string_view message)>;
+
+  /// Listens on `at`; port 0 takes any free port. Fails with `io` when the address is in use.
+  static result<std::unique_ptr<server>> listen(net::event_loop& loop, const net::address& at,
+                                                handler on_request, refusal on_refusal);
+  ~server();
+  server(const server&) = delete;
+  server& operator=(const server&) = delete;
+  server(server&&) = delete;
+  server& operator=(server&&) = delete;
+
+  [[nodiscard]] const net::address& local_address() const { return local_; }
+  /// Limits of connections from now on; open ones follow at their next step.
+  void set_limits(const server_limits& limits) { shared_.limits = limits; }
+  /// Announces the end of each connection in its next response.
+  void drain();
+  /// Closes idle connections; those with a request in progress stay.
+  void close_idle();
+  [[nodiscard]] std::size_t open_exchanges() const;
+
+private:
+  server(net::event_loop& loop, handler on_request, refusal on_refusal);
+  static void on_accept(evconnlistener* from, evutil_socket_t fd, struct sockaddr* peer, int size,
+                        void* self);
+
+  net::event_loop& loop_;
+  server_shared shared_;
+  evconnlistener* listener_ = nullptr;
+  net::address local_;
+  std::unordered_map<server_connection*, std::shared_ptr<server_connection>> connections_;
+};
+
+} // namespace boragedoor::http1
--- /dev/null
+++ b/libs/http1/server_connection.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <event2/util.h>
+
+#include "http1/exchange.h"
+#include "http1/message.h"
+#include "http1/parser.h"
+#include "net/event_loop.h"
+
+struct bufferevent;
+
+namespace boragedoor::http1 {
+
+/// What callers may send. The figures come from the configuration in force.
+struct server_limits {
+  std::size_t header_bytes = 16UL * 1024;
+  std::size_t body_bytes = 1024UL * 1024;
+  /// From the first byte of a request to the end of its header fields.
+  duration header_timeout = seconds(5);
+  /// Between two requests, and between two pieces of a body.
+  duration idle_timeout = seconds(30);
+};
+
+/// What all connections of a server share.
+struct server_shared {
+  std::function<void(std::shared_ptr<exchange>)> handler;
+  std::function<void(server_connection&)> on_closed;
+  /// Makes the response to a message that breaks the protocol or a limit.
+  std::function<response(int status, std::string_view message)> refuse;
+  server_limits limits;
+  /// Responses announce the end of their connection.
+  bool draining = false;
+};
+
+/// One connection of a caller. Requests are answered one after the other.
+class server_connection : public std::enable_shared_from_this<server_connection> {
+public:
+  server_connection(net::event_loop& loop, server_shared& shared, evutil_socket_t fd,
+                    std::string peer);
+  ~server_connection();
+  server_connection(const server_connection&) = delete;
+  server_connection& operator=(const server_connection&) = delete;
+  server_connection(server_connection&&) = delete;
+  server_connection& operator=(server_connection&&) = delete;
+
+  void send_whole(const response& it);
+  void send_start(const response& it);
+  void send_chunk(std::string_view data);
+  void send_end();
+  void close();
+  /// Closes the connection if no request is in progress.
+  void close_if_idle();
+  [[nodiscard]] bool has_exchange() const { return phase_ == phase::answering; }
+
+private:
+  enum class phase { head, body, answering, closing };
+
+  static void on_read(bufferevent* bev, void* self);
+  static void on_write(bufferevent* bev, void* self);
+  static void on_event(bufferevent* bev, short what, void* self);
+
+  void read_input();
+  bool read_head();
+  bool read_body();
+  bool take_head(const message_head& head);
+  void dispatch();
+  void refuse(int status, std::string_view message);
+  void write_head(const response& it, bool chunked);
+  void end_response();
+  void handle_end();
+  void on_timeout();
+
+  server_shared& shared_;
+  bufferevent* bev_;
+  std::string peer_;
+  parser parser_;
+  net::timer timer_;
+  phase phase_ = phase::head;
+  bool head_started_ = false;
+  request request_;
+  bool keep_alive_ = true;
+  bool message_done_ = false;
+  int refusal_ = 0;
+  bool chunked_ = false;
+  std::weak_ptr<exchange> exchange_;
+};
+
+} // namespace boragedoor::http1
--- /dev/null
+++ b/libs/instance/configuration_task.cpp
@@ -0,0 +1,64 @@
+#include "instance/configuration_task.h"
+
+#include <utility>
+
+namespace boragedoor::instance {
+
+namespace {
+
+/// A revoked key and a moved route must be in force within two seconds, also when the connection of
+/// the watch has gone silent.
+constexpr duration watch_wait = seconds(2);
+
+template <class... Visitors>
+struct overloaded : Visitors... {
+  using Visitors::operator()...;
+};
+template <class... Visitors>
+overloaded(Visitors...) -> overloaded<Visitors...>;
+
+} // namespace
+
+configuration_task::configuration_task(instance_context& context, const std::string& prefix,
+                                       operator_decoder decode)
+    : context_(context), decode_(std::move(decode)),
+      watch_(context.loop, context.store, prefix, {.wait = watch_wait},
+             {.on_put = [this](const stored_item& it) { take(it); },
+              // Operators replace entries; one that is gone leaves the last value in force.
+              .on_removed = [](const std::string&) {},
+              .on_synced = nullptr,
+              .on_reachable =
+                  [this](bool reachable) {
+                    context_.record(reachable ? events::event_number::store_available
+                                              : events::event_number::store_unavailable,
+                                    {}, {}, {{"watch", "operators"}});
+                  }}) {}
+
+void configuration_task::take(const stored_item& it) {
+  operator_entry entry = decode_(it.key, it.value);
+  std::visit(overloaded{[this](dispatch::service_configuration& next) { apply(std::move(next)); },
+                        [this](const named_version& named) {
+                          context_.record(events::event_number::weights_announced, {}, {},
+                                          {{"model", named.model}, {"version", named.version}});
+                          version_named.emit(named);
+                        },
+                        [this](const retire_request& asked) { retire_requested.emit(asked); },
+                        [this, &it](const ignored_entry& unread) {
+                          context_.record(events::event_number::store_document_damaged, {}, {},
+                                          {{"key", it.key}, {"reason", unread.reason}});
+                        }},
+             entry);
+}
+
+void configuration_task::apply(dispatch::service_configuration next) {
+  const std::uint64_t version = next.version;
+  if (!context_.routes.apply(std::move(next))) {
+    context_.record(events::event_number::configuration_rejected, {}, {},
+                    {{"version", version}, {"in_force", context_.routes.version()}});
+    return;
+  }
+  context_.record(events::event_number::configuration_applied, {}, {}, {{"version", version}});
+  applied.emit();
+}
+
+} // namespace boragedoor::instance
--- /dev/null
+++ b/libs/instance/error_response.cpp
@@ -0,0 +1,38 @@
+#include "instance/error_response.h"
+
+#include <fmt/format.h>
+
+#include "base/json.h"
+
+namespace boragedoor::instance {
+
+http1::response error_response(int status, std::string_view code, std::string_view message,
+                               executed ran, std::optional<duration> retry_after) {
+  http1::response it;
+  it.status = status;
+  it.headers.emplace_back("Content-Type", "application/json");
+  if (retry_after) {
+    const double value = std::chrono::duration<double>(*retry_after).count();
+    it.headers.emplace_back("Retry-After", fmt::format("{:.3f}", value));
+  }
+  it.body = to_text({{"error",
+                      {{"code", code},
+                       {"message", message},
+                       {"executed", ran == executed::no ? "no" : "unknown"}}}});
+  return it;
+}
+
+http1::response listener_refusal(int status, std::string_view message) {
+  constexpr int timeout = 408;
+  constexpr int body_too_large = 413;
+  constexpr int headers_too_large = 431;
+  std::string_view code = "invalid_request";
+  if (status == timeout) {
+    code = "timeout";
+  } else if (status == body_too_large || status == headers_too_large) {
+    code = "too_large";
+  }
+  return error_response(status, code, message, executed::no);
+}
+
+} // namespace boragedoor::instance
--- /dev/null
+++ b/libs/instance/instance_context.cpp
@@ -0,0 +1,20 @@
+#include "instance/instance_context.h"
+
+#include <utility>
+
+namespace boragedoor::instance {
+
+void instance_context::record(events::event_number number, std::string_view request,
+                              std::string_view endpoint, json details) {
+  events::event it;
+  it.number = number;
+  it.monotonic = loop.now();
+  it.wall = wall_now();
+  it.request = request;
+  it.endpoint = endpoint;
+  it.revision = routes.version();
+  it.details = std::move(details);
+  log.record(std::move(it));
+}
+
+} // namespace boragedoor::instance
--- /dev/null
+++ b/libs/instance/job_runner.cpp
@@ -0,0 +1,416 @@
+#include "instance/job_runner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "jobs/job_documents.h"
+
+namespace boragedoor::instance {
+
+namespace {
+
+using events::event_number;
+
+constexpr duration connect_timeout = milliseconds(300);
+/// Longest silence of a generation's stream. Loading weights halts one for about a second, slow
+/// engines several times an event's time; beyond that its connection is taken for dead.
+constexpr duration stream_timeout = seconds(4);
+/// Longest time for a run; a generation takes a few seconds.
+constexpr duration run_limit = seconds(30);
+/// Scoring takes about a tenth of a second; a lost call is repeated.
+constexpr duration reward_limit = seconds(2);
+/// Bytes of text in one value of the store, which may have one megabyte with its encoding.
+constexpr std::size_t chunk_bytes = 512UL * 1024;
+constexpr duration listing_retry = milliseconds(250);
+/// Runs that may be moved at a time, so that a wrong verdict cannot move all of them.
+constexpr std::size_t most_moved = 8;
+
+constexpr int unprocessable = 422;
+
+} // namespace
+
+job_runner::job_runner(instance_context& context, job_store& store, jobs::job contents,
+                       std::vector<jobs::item_result> listed)
+    : context_(context), store_(store), run_(std::move(contents), listed), listed_(listed.size()) {}
+
+job_runner::~job_runner() {
+  *alive_ = false;
+  stop();
+}
+
+void job_runner::stop() {
+  stopped_ = true;
+  const time_point now = context_.loop.now();
+  for (const auto& [n, it] : std::exchange(runs_, {})) {
+    it->call->cancel();
+    context_.endpoints.note_finished(it->endpoint, std::nullopt, now);
+  }
+  for (const auto& [n, it] : std::exchange(rewards_, {})) {
+    it->call->cancel();
+    context_.endpoints.note_finished(it->endpoint, std::nullopt, now);
+  }
+}
+
+void job_runner::pump(time_point now) {
+  if (stopped_) {
+    return;
+  }
+  if (wall_now() >= run_.contents().give_up) {
+    while (!runs_.empty()) {
+      cancel_run(runs_.begin()->first, jobs::run_end::broken, "given_up");
+    }
+    run_.give_up(wall_now(), now);
+  }
+  move_slow_runs(now);
+  while (const auto n = run_.next_item(now)) {
+    if (!start_item(*n, now)) {
+      break;
+    }
+  }
+  while (const auto n = run_.next_reward(now)) {
+    if (!start_reward(*n, now)) {
+      break;
+    }
+  }
+  list_results(now);
+}
+
+bool job_runner::start_item(std::size_t n, time_point now) {
+  const jobs::job& job = run_.contents();
+  const jobs::job_item& item = run_.item(n);
+  const dispatch::route* on = context_.routes.find(job.host, item.path);
+  if (on == nullptr) {
+    return false;
+  }
+  const std::string service = dispatch::draw_service(*on, context_.random);
+  dispatch::endpoint_need need{.service = service,
+                               .model = item.model,
+                               .minimum_version = job.minimum_version,
+                               .excluded = run_.avoided(n),
+                               .needs_free_place = true,
+                               .preferred = run_.group_endpoint(n)};
+  auto chosen = context_.endpoints.choose(need, context_.loop.now(), context_.random);
+  if (!chosen) {
+    need.excluded = {};
+    chosen = context_.endpoints.choose(need, context_.loop.now(), context_.random);
+  }
+  if (!chosen) {
+    return false;
+  }
+  const auto it = std::make_shared<open_call>(
+      open_call{.item = n, .endpoint = chosen->id, .call = {}, .reader = {}, .sent = now});
+  const auto left = std::chrono::duration_cast<duration>(job.give_up - wall_now());
+  const send_context to{.endpoint = chosen->id,
+                        .workspace = job.workspace,
+                        .time_left = std::clamp<duration>(left, milliseconds(1), run_limit)};
+  http1::call_spec spec;
+  spec.target = chosen->address;
+  spec.message = context_.protocol.generate(job, item, run_.last_event(n), to);
+  spec.connect_timeout = connect_timeout;
+  spec.progress_timeout = stream_timeout;
+  context_.endpoints.note_sent(chosen->id, now);
+  run_.started(n, chosen->id, now);
+  runs_[n] = it;
+  context_.record(event_number::item_started, item.id, chosen->id,
+                  {{"job", job.id}, {"after", run_.last_event(n).value_or(0)}});
+  http1::call_callbacks callbacks;
+  callbacks.on_head = [this, it](const http1::response& head) { return on_head(*it, head); };
+  callbacks.on_data = [this, it](std::string_view data) { on_data(*it, data); };
+  callbacks.on_end = [this, it](http1::call_outcome outcome, const http1::response& response) {
+    on_end(it, outcome, response);
+  };
+  it->call = context_.calls.send(std::move(spec), std::move(callbacks));
+  return true;
+}
+
+bool job_runner::on_head(open_call& it, const http1::response& head) {
+  const endpoint_reply reply = context_.protocol.read(head);
+  if (!reply.attempt.empty() && reply.attempt != run_.item(it.item).id) {
+    return false;
+  }
+  if (reply.running && reply.waiting) {
+    context_.endpoints.note_load(it.endpoint, *reply.running, *reply.waiting, context_.loop.now());
+  }
+  constexpr int ok = 200;
+  if (head.status != ok || reply.not_run || reply.signature.empty()) {
+    return true;
+  }
+  it.accepted = true;
+  if (reply.weight_version) {
+    context_.endpoints.note_version(it.endpoint, run_.item(it.item).model, *reply.weight_version);
+    if (!run_.note_version(it.item, *reply.weight_version)) {
+      reject(it, jobs::run_end::stale_weights);
+    }
+  }
+  return true;
+}
+
+void job_runner::reject(open_call& it, jobs::run_end how) {
+  if (!std::exchange(it.rejected, true)) {
+    it.rejection = how;
+    // The call's own callback is running; it is cancelled from the loop.
+    context_.loop.post([this, alive = alive_, n = it.item, call = it.call, how] {
+      const auto found = *alive ? runs_.find(n) : runs_.end();
+      if (*alive && found != runs_.end() && found->second->call == call) {
+        cancel_run(n, how, "rejected");
+      }
+    });
+  }
+}
+
+void job_runner::on_data(open_call& it, std::string_view data) {
+  if (!it.accepted || it.rejected) {
+    return;
+  }
+  it.reader.feed(data, [this, &it](const jobs::stream_event& event) {
+    if (it.rejected) {
+      return;
+    }
+    if (const auto version = context_.protocol.version_change(event)) {
+      context_.endpoints.note_version(it.endpoint, run_.item(it.item).model, *version);
+      if (!run_.note_version(it.item, *version)) {
+        reject(it, jobs::run_end::stale_weights);
+        return;
+      }
+    }
+    if (!run_.take_event(it.item, event, context_.loop.now())) {
+      reject(it, jobs::run_end::broken);
+    }
+  });
+}
+
+void job_runner::on_end(const std::shared_ptr<open_call>& it, http1::call_outcome outcome,
+                        const http1::response& response) {
+  runs_.erase(it->item);
+  const endpoint_reply reply = context_.protocol.read(response);
+  if (it->rejected) {
+    finish_run(*it, it->rejection, std::nullopt, "rejected");
+    return;
+  }
+  if (outcome != http1::call_outcome::complete) {
+    const auto seen = outcome == http1::call_outcome::timed_out
+                          ? routing::evidence::progress_timeout
+                          : routing::evidence::failure;
+    finish_run(*it,
+               outcome == http1::call_outcome::not_connected ? jobs::run_end::not_run
+                                                             : jobs::run_end::broken,
+               seen, to_string(outcome));
+    return;
+  }
+  if (reply.misdirected) {
+    context_.endpoints.note_misdirected(it->endpoint);
+    finish_run(*it, jobs::run_end::not_run, std::nullopt, "misdirected");
+    return;
+  }
+  if (reply.not_run) {
+    finish_run(*it, jobs::run_end::not_run, std::nullopt, "not_run");
+    return;
+  }
+  if (response.status == unprocessable) {
+    finish_run(*it, jobs::run_end::impossible, routing::evidence::success, "impossible");
+    return;
+  }
+  if (response.status >= 500) {
+    finish_run(*it, jobs::run_end::failed, std::nullopt, "endpoint_error");
+    return;
+  }
+  if (!it->accepted || it->reader.has_partial()) {
+    finish_run(*it, jobs::run_end::broken, routing::evidence::wrong_answer, "incomplete");
+    return;
+  }
+  finish_run(*it, jobs::run_end::complete, routing::evidence::success, "complete");
+}
+
+void job_runner::finish_run(open_call& it, jobs::run_end how, std::optional<routing::evidence> seen,
+                            std::string_view reason) {
+  const time_point now = context_.loop.now();
+  context_.endpoints.note_finished(it.endpoint, seen, now);
+  run_.ended(it.item, how, now);
+  context_.record(event_number::item_ended, run_.item(it.item).id, it.endpoint,
+                  {{"job", run_.contents().id},
+                   {"reason", reason},
+                   {"last_event", run_.last_event(it.item).value_or(0)}});
+  if (!stopped_) {
+    pump(now);
+  }
+}
+
+void job_runner::cancel_run(std::size_t n, jobs::run_end how, std::string_view reason) {
+  const auto found = runs_.find(n);
+  if (found == runs_.end()) {
+    return;
+  }
+  const auto it = found->second;
+  runs_.erase(found);
+  it->call->cancel();
+  const time_point now = context_.loop.now();
+  context_.endpoints.note_finished(it->endpoint, std::nullopt, now);
+  run_.ended(n, how, now);
+  context_.record(event_number::item_ended, run_.item(n).id, it->endpoint,
+                  {{"job", run_.contents().id}, {"reason", reason}});
+}
+
+void job_runner::move_slow_runs(time_point now) {
+  std::size_t moved = 0;
+  for (const std::size_t n : run_.slow_runs(now)) {
+    const auto found = runs_.find(n);
+    if (found == runs_.end() || moved == most_moved) {
+      continue;
+    }
+    const jobs::job& job = run_.contents();
+    const dispatch::route* on = context_.routes.find(job.host, run_.item(n).path);
+    if (on == nullptr || on->services.empty()) {
+      continue;
+    }
+    const std::vector<std::string> excluded = {found->second->endpoint};
+    const std::string service = dispatch::draw_service(*on, context_.random);
+    const auto other = context_.endpoints.choose({.service = service,
+                                                  .model = run_.item(n).model,
+                                                  .minimum_version = job.minimum_version,
+                                                  .excluded = excluded,
+                                                  .needs_free_place = true},
+                                                 context_.loop.now(), context_.random);
+    if (other) {
+      cancel_run(n, jobs::run_end::moved, "slow");
+      ++moved;
+    }
+  }
+}
+
+bool job_runner::start_reward(std::size_t n, time_point now) {
+  const jobs::reward_call& call = *run_.item(n).reward;
+  const dispatch::route* on = context_.routes.find(call.host, call.path);
+  if (on == nullptr) {
+    return false;
+  }
+  const std::string service = dispatch::draw_service(*on, context_.random);
+  const auto chosen = context_.endpoints.choose({.service = service, .needs_free_place = true},
+                                                context_.loop.now(), context_.random);
+  if (!chosen) {
+    return false;
+  }
+  const auto it = std::make_shared<open_call>(
+      open_call{.item = n, .endpoint = chosen->id, .call = {}, .reader = {}, .sent = now});
+  http1::call_spec spec;
+  spec.target = chosen->address;
+  spec.message = context_.protocol.score(
+      call, {.endpoint = chosen->id, .workspace = {}, .time_left = reward_limit});
+  spec.connect_timeout = connect_timeout;
+  spec.progress_timeout = reward_limit;
+  context_.endpoints.note_sent(chosen->id, now);
+  run_.reward_started(n);
+  rewards_[n] = it;
+  http1::call_callbacks callbacks;
+  callbacks.on_head = [this, id = call.id, endpoint = chosen->id](const http1::response& head) {
+    const endpoint_reply reply = context_.protocol.read(head);
+    if (!reply.attempt.empty() && reply.attempt != id) {
+      return false;
+    }
+    if (reply.running && reply.waiting) {
+      context_.endpoints.note_load(endpoint, *reply.running, *reply.waiting, context_.loop.now());
+    }
+    return true;
+  };
+  callbacks.on_end = [this, it](http1::call_outcome outcome, const http1::response& response) {
+    on_reward_end(it, outcome, response);
+  };
+  it->call = context_.calls.send(std::move(spec), std::move(callbacks));
+  return true;
+}
+
+void job_runner::on_reward_end(const std::shared_ptr<open_call>& it, http1::call_outcome outcome,
+                               const http1::response& response) {
+  rewards_.erase(it->item);
+  const time_point now = context_.loop.now();
+  const endpoint_reply reply = context_.protocol.read(response);
+  jobs::reward_end how = jobs::reward_end::broken;
+  std::optional<routing::evidence> seen = routing::evidence::failure;
+  if (outcome == http1::call_outcome::complete) {
+    seen.reset();
+    if (reply.misdirected) {
+      context_.endpoints.note_misdirected(it->endpoint);
+    } else if (!reply.not_run && response.status >= 200 && response.status < 300) {
+      how = reply.signature.empty() ? jobs::reward_end::broken : jobs::reward_end::scored;
+      seen = reply.signature.empty() ? routing::evidence::wrong_answer : routing::evidence::success;
+    } else if (!reply.not_run && response.status >= 500) {
+      how = jobs::reward_end::failed;
+    }
+  } else if (outcome == http1::call_outcome::timed_out) {
+    seen = routing::evidence::progress_timeout;
+  }
+  context_.endpoints.note_finished(it->endpoint, seen, now);
+  const jobs::reward_call& call = *run_.item(it->item).reward;
+  const dispatch::route* on = context_.routes.find(call.host, call.path);
+  const int attempts = std::max(run_.contents().max_attempts, on == nullptr ? 1 : on->max_attempts);
+  run_.reward_ended(it->item, how, reply.signature, attempts, now);
+  context_.record(
+      event_number::item_scored, run_.item(it->item).id, it->endpoint,
+      {{"job", run_.contents().id}, {"outcome", to_string(outcome)}, {"status", response.status}});
+  if (!stopped_) {
+    pump(now);
+  }
+}
+
+void job_runner::list_results(time_point now) {
+  if (!chunk_) {
+    if (!run_.results_due(now)) {
+      return;
+    }
+    chunk_ = std::make_unique<chunk>(chunk{listed_, run_.take_results(chunk_bytes)});
+  }
+  if (chunk_->sent || now < chunk_->not_before) {
+    return;
+  }
+  const known_record* owner = store_.find(run_.contents().id);
+  if (owner == nullptr || owner->record.ended ||
+      owner->record.runner != context_.identity.member_id()) {
+    stop();
+    return;
+  }
+  chunk_->sent = true;
+  store_.append_results(*owner, chunk_->first, chunk_->results,
+                        [this, alive = alive_](const commit_answer& out) {
+                          if (*alive) {
+                            on_listed(out);
+                          }
+                        });
+}
+
+void job_runner::on_listed(const commit_answer& out) {
+  const time_point now = context_.loop.now();
+  if (!chunk_) {
+    return;
+  }
+  chunk_->sent = false;
+  const std::string& job = run_.contents().id;
+  bool stored = out.status == store_status::ok;
+  if (out.status == store_status::conflict) {
+    const std::string key = jobs::results_key(job, chunk_->first + chunk_->results.size());
+    const auto present =
+        std::find_if(out.found.begin(), out.found.end(),
+                     [&](const stored_item& it) { return it.key == key && it.revision != 0; });
+    if (present != out.found.end() && present->value != jobs::to_document(chunk_->results)) {
+      // Another member listed other results here: it runs the job now.
+      stop();
+      return;
+    }
+    // The same chunk: an earlier call took effect without an answer.
+    stored = present != out.found.end();
+    if (!stored) {
+      store_.read_record(job, [](const result<known_record>&) {});
+    }
+  }
+  if (!stored) {
+    chunk_->not_before = now + listing_retry;
+    return;
+  }
+  listed_ += chunk_->results.size();
+  context_.record(event_number::results_listed, job, {},
+                  {{"results", chunk_->results.size()}, {"listed", listed_}});
+  chunk_.reset();
+  if (!stopped_) {
+    pump(now);
+  }
+}
+
+} // namespace boragedoor::instance
--- /dev/null
+++ b/libs/instance/job_service.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/result.h"
+#include "instance/instance_context.h"
+#include "instance/job_runner.h"
+#include "instance/job_store.h"
+#include "instance/member_task.h"
+
+namespace boragedoor::instance {
+
+/// Results of a job from a position on.
+struct job_listing {
+  std::size_t total = 0;
+  std::size_t next = 0;
+  std::vector<jobs::item_result> results;
+};
+
+enum class submit_outcome {
+  accepted,
+  /// Certainly not accepted; it may be submitted again.
+  refused,
+  /// Not known; the same job may be submitted again.
+  unknown,
+};
+
+/// Takes, runs and answers for batch jobs. Any instance answers for any job; one runs it.
+class job_service {
+public:
+  job_service(instance_context& context, member_task& members);
+
+  void start();
+  /// Takes no more jobs over; those that run go on.
+  void drain() { draining_ = true; }
+  /// Stops running jobs and hands them to other members.
+  void hand_over();
+
+  /// Keeps a job and starts to run it. Called again with the same job it answers the same.
+  void submit(jobs::job it, std::function<void(submit_outcome)> done);
+  /// Reads results from position `after` on. Fails with `not_found` where the workspace has no such
+  /// job, and with another code if that is not known.
+  void read(const std::string& job, std::string_view workspace, std::size_t after,
+            std::function<void(result<job_listing>)> done);
+  /// Reads the body of an item.
+  void read_body(const std::string& job, std::string_view workspace, std::string item,
+                 std::function<void(result<std::string>)> done);
+  /// Ends a job; again if it has ended.
+  void end(const std::string& job, std::string_view workspace,
+           std::function<void(result<void>)> done);
+
+  [[nodiscard]] std::size_t running_jobs() const { return runners_.size(); }
+  [[nodiscard]] std::size_t running_items() const;
+
+private:
+  struct submission;
+
+  void try_submit(const std::shared_ptr<submission>& it);
+  void with_record(const std::string& job, std::string_view workspace,
+                   std::function<void(result<known_record>)> done);
+  void end_known(const known_record& known, int attempts_left,
+                 std::function<void(result<void>)> done);
+  void run(jobs::job contents, std::vector<jobs::item_result> listed);
+  void load_and_run(const std::string& job);
+  void on_record(const std::string& job);
+  void pump();
+  void take_over();
+
+  instance_context& context_;
+  member_task& members_;
+  job_store store_;
+  std::map<std::string, std::unique_ptr<job_runner>, std::less<>> runners_;
+  /// Jobs that are being loaded or taken over.
+  std::map<std::string, time_point, std::less<>> loading_;
+  /// Jobs with nothing left to run or list, until their trainer ends them.
+  std::set<std::string, std::less<>> finished_;
+  net::timer pump_timer_;
+  net::timer takeover_timer_;
+  bool draining_ = false;
+  bool stopped_ = false;
+};
+
+} // namespace boragedoor::instance
--- /dev/null
+++ b/libs/instance/job_store.cpp
@@ -0,0 +1,237 @@
+#include "instance/job_store.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "jobs/job_documents.h"
+
+namespace boragedoor::instance {
+
+namespace {
+
+/// Other instances learn of jobs to take them over, which takes seconds anyway, and to end them.
+constexpr duration watch_wait = seconds(2);
+constexpr duration watch_pause = milliseconds(200);
+
+error unavailable(std::string_view what) {
+  return {error_code::unavailable, fmt::format("the store does not answer for the {}", what)};
+}
+
+error missing(std::string_view what) {
+  return {error_code::not_found, fmt::format("the store has no such {}", what)};
+}
+
+std::string job_of_key(std::string_view key) {
+  return std::string(key.substr(jobs::record_prefix().size()));
+}
+
+} // namespace
+
+job_store::job_store(instance_context& context)
+    : context_(context),
+      watch_(context.loop, context.store, jobs::record_prefix(),
+             {.wait = watch_wait, .pause = watch_pause},
+             {.on_put =
+                  [this](const stored_item& it) {
+                    auto record = jobs::record_from_document(it.value);
+                    if (!record) {
+                      context_.record(events::event_number::store_document_damaged, {}, {},
+                                      {{"key", it.key}, {"reason", record.error().message}});
+                      return;
+                    }
+                    remember({std::move(record).value(), it.revision});
+                  },
+              .on_removed =
+                  [this](const std::string& key) {
+                    const std::string job = job_of_key(key);
+                    records_.erase(job);
+                    changed.emit(job);
+                  },
+              .on_synced = nullptr,
+              .on_reachable = nullptr}) {}
+
+const known_record* job_store::find(std::string_view job) const {
+  const auto it = records_.find(job);
+  return it == records_.end() ? nullptr : &it->second;
+}
+
+void job_store::remember(known_record it) {
+  known_record& known = records_[it.record.id];
+  if (known.revision < it.revision) {
+    known = std::move(it);
+    changed.emit(known.record.id);
+  }
+}
+
+void job_store::create(const jobs::job& it, const jobs::job_record& record,
+                       std::function<void(create_outcome)> done) {
+  const std::string key = jobs::record_key(it.id);
+  const std::string contents = jobs::contents_key(it.id);
+  store_change change;
+  change.expected = {{key, 0}, {contents, 0}};
+  change.puts = {{key, jobs::to_document(record), 0}, {contents, jobs::to_document(it), 0}};
+  context_.store.commit(change, [this, record, done = std::move(done)](const commit_answer& out) {
+    switch (out.status) {
+    case store_status::ok:
+      remember({record, out.revision});
+      done(create_outcome::created);
+      return;
+    case store_status::conflict:
+      for (const stored_item& found : out.found) {
+        if (found.key != jobs::record_key(record.id)) {
+          continue;
+        }
+        if (auto present = jobs::record_from_document(found.value)) {
+          const bool own = present.value().runner == record.runner;
+          remember({std::move(present).value(), found.revision});
+          // An earlier call of this member took effect without an answer.
+          done(own ? create_outcome::created : create_outcome::exists);
+          return;
+        }
+      }
+      done(create_outcome::exists);
+      return;
+    case store_status::refused:
+    case store_status::missing:
+      done(create_outcome::refused);
+      return;
+    case store_status::unknown:
+      done(create_outcome::unknown);
+      return;
+    }
+  });
+}
+
+void job_store::read_record(const std::string& job,
+                            std::function<void(result<known_record>)> done) {
+  context_.store.read(jobs::record_key(job), [this, done = std::move(done)](const read_answer& it) {
+    if (it.status == store_status::missing) {
+      done(missing("job"));
+      return;
+    }
+    if (it.status != store_status::ok) {
+      done(unavailable("job"));
+      return;
+    }
+    auto record = jobs::record_from_document(it.item.value);
+    if (!record) {
+      done(record.error());
+      return;
+    }
+    known_record known{std::move(record).value(), it.item.revision};
+    remember(known);
+    done(std::move(known));
+  });
+}
+
+void job_store::load_contents(const std::string& job, std::function<void(result<jobs::job>)> done) {
+  context_.store.read(jobs::contents_key(job), [done = std::move(done)](const read_answer& it) {
+    if (it.status == store_status::missing) {
+      done(missing("job"));
+    } else if (it.status != store_status::ok) {
+      done(unavailable("job"));
+    } else {
+      done(jobs::job_from_document(it.item.value));
+    }
+  });
+}
+
+void job_store::load(const std::string& job, std::function<void(result<loaded_job>)> done) {
+  load_contents(job, [this, job, done = std::move(done)](result<jobs::job> contents) {
+    if (!contents) {
+      done(contents.error());
+      return;
+    }
+    auto into = std::make_shared<loaded_job>(loaded_job{std::move(contents).value(), {}});
+    load_results(job, 0, into, done);
+  });
+}
+
+void job_store::load_results(const std::string& job, std::size_t after,
+                             std::shared_ptr<loaded_job> into,
+                             std::function<void(result<loaded_job>)> done) {
+  read_results(job, after,
+               [this, job, after, into = std::move(into),
+                done = std::move(done)](result<results_page> page) {
+                 if (!page) {
+                   done(page.error());
+                   return;
+                 }
+                 for (jobs::item_result& it : page.value().results) {
+                   // Only the ids are needed to go on; the texts are in the store.
+                   it.text = std::string();
+                   into->listed.push_back(std::move(it));
+                 }
+                 if (page.value().next == after) {
+                   done(std::move(*into));
+                   return;
+                 }
+                 load_results(job, page.value().next, into, done);
+               });
+}
+
+void job_store::read_results(const std::string& job, std::size_t after,
+                             std::function<void(result<results_page>)> done) {
+  context_.store.list(
+      jobs::results_prefix(job), jobs::results_key(job, after),
+      [after, done = std::move(done)](const list_answer& out) {
+        if (out.status != store_status::ok) {
+          done(unavailable("results"));
+          return;
+        }
+        results_page page{{}, after};
+        for (const stored_item& it : out.items) {
+          const auto end = jobs::end_of_results_key(it.key);
+          auto chunk = jobs::results_from_document(it.value);
+          if (!end || !chunk || end.value() < chunk.value().size()) {
+            done(error{error_code::protocol, fmt::format("the stored {} is damaged", it.key)});
+            return;
+          }
+          std::vector<jobs::item_result>& list = chunk.value();
+          const std::size_t first = end.value() - list.size();
+          const std::size_t skip = page.next > first ? page.next - first : 0;
+          for (std::size_t n = skip; n < list.size(); ++n) {
+            page.results.push_back(std::move(list[n]));
+          }
+          page.next = std::max(page.next, end.value());
+        }
+        done(std::move(page));
+      });
+}
+
+void job_store::replace_record(const known_record& old, jobs::job_record next,
+                               std::function<void(result<known_record>)> done) {
+  store_change change;
+  const std::string key = jobs::record_key(old.record.id);
+  change.expected = {{key, old.revision}};
+  change.puts = {{key, jobs::to_document(next), 0}};
+  context_.store.commit(
+      change, [this, next = std::move(next), done = std::move(done)](const commit_answer& out) {
+        if (out.status == store_status::ok) {
+          known_record known{next, out.revision};
+          remember(known);
+          done(std::move(known));
+        } else if (out.status == store_status::conflict) {
+          done(error{error_code::conflict, "the job's record has changed"});
+        } else if (out.status == store_status::refused) {
+          done(unavailable("job"));
+        } else {
+          done(error{error_code::outcome_unknown, "the store did not answer"});
+        }
+      });
+}
+
+void job_store::append_results(const known_record& owner, std::size_t first,
+                               const std::vector<jobs::item_result>& list,
+                               std::function<void(commit_answer)> done) {
+  const std::string& job = owner.record.id;
+  const std::string key = jobs::results_key(job, first + list.size());
+  store_change change;
+  change.expected = {{jobs::record_key(job), owner.revision}, {key, 0}};
+  change.puts = {{key, jobs::to_document(list), 0}};
+  context_.store.commit(change, std::move(done));
+}
+
+} // namespace boragedoor::instance
--- /dev/null
+++ b/libs/instance/member_task.cpp
@@ -0,0 +1,244 @@
+#include "instance/member_task.h"
+
+#include <utility>
+
+namespace boragedoor::instance {
+
+namespace {
+
+constexpr std::string_view members_prefix = "boragedoor/members/";
+constexpr std::string_view duties_key = "boragedoor/duties";
+
+/// Renewals in one lease time: two may be lost before the lease ends.
+constexpr int renewals_per_lease = 3;
+/// The own view of the lease ends this much early, for clocks that run at different rates.
+constexpr duration safety_margin = milliseconds(200);
+constexpr duration tick_interval = milliseconds(100);
+constexpr duration claim_retry = milliseconds(300);
+constexpr duration watch_wait = seconds(3);
+constexpr duration watch_pause = milliseconds(200);
+
+} // namespace
+
+member_task::member_task(instance_context& context, std::string address, duration lease_ttl)
+    : context_(context), address_(std::move(address)), lease_ttl_(lease_ttl),
+      watch_(context.loop, context.store, std::string(members_prefix),
+             {.wait = watch_wait, .pause = watch_pause},
+             {.on_put =
+                  [this](const stored_item& it) {
+                    auto decoded = duties::member_from_document(it.value);
+                    if (!decoded) {
+                      context_.record(events::event_number::store_document_damaged, {}, {},
+                                      {{"key", it.key}, {"reason", decoded.error().message}});
+                      return;
+                    }
+                    decoded.value().created = it.created;
+                    members_.put(it.key, decoded.value());
+                  },
+              .on_removed =
+                  [this](const std::string& key) { members_.remove(key, context_.loop.now()); },
+              .on_synced = [this] { changed.emit(); },
+              .on_reachable = nullptr}),
+      timer_(context.loop, [this] { tick(); }) {}
+
+std::string member_task::key() const {
+  // A restarted process has another key, so that its entry counts as young.
+  return std::string(members_prefix) + context_.identity.member_id();
+}
+
+void member_task::start() {
+  watching_since_ = context_.loop.now();
+  watch_.start();
+  timer_.start_periodic(tick_interval);
+  tick();
+}
+
+void member_task::drain() {
+  draining_ = true;
+  token_ = 0;
+  // The entry is written again with its new state.
+  entered_ = false;
+  next_renewal_ = context_.loop.now();
+  tick();
+}
+
+void member_task::leave() {
+  leaving_ = true;
+  token_ = 0;
+  entered_ = false;
+  if (lease_ != 0) {
+    // The end of the lease removes the entry at once; without an answer it lapses by itself.
+    context_.store.end_lease(std::exchange(lease_, 0));
+  }
+}
+
+bool member_task::is_member(time_point now) const {
+  return entered_ && now < valid_until_;
+}
+
+std::optional<duty_permit> member_task::permit(time_point now) const {
+  if (token_ == 0 || !is_member(now)) {
+    return std::nullopt;
+  }
+  return duty_permit{token_, valid_until_};
+}
+
+void member_task::reject_token(std::uint64_t token) {
+  if (token != 0 && token == token_) {
+    rejected_token_ = token;
+    token_ = 0;
+    next_claim_ = context_.loop.now() + lease_ttl_;
+    context_.record(events::event_number::lease_lost, {}, {}, {{"fencing_token", token}});
+  }
+}
+
+void member_task::tick() {
+  const time_point now = context_.loop.now();
+  if (leaving_) {
+    return;
+  }
+  if (lease_ != 0 && now >= valid_until_ + safety_margin) {
+    // The entry may be gone. A new lease makes a new entry, behind the others in age.
+    lease_ = 0;
+    entered_ = false;
+    if (std::exchange(token_, 0) != 0) {
+      context_.record(events::event_number::lease_lost, {}, {}, {{"duty", "all"}});
+    }
+  }
+  if (!call_open_ && now >= next_renewal_) {
+    if (lease_ == 0) {
+      grant();
+    } else if (!entered_) {
+      enter();
+    } else {
+      renew();
+    }
+  }
+  claim_duties();
+}
+
+void member_task::grant() {
+  const time_point sent = context_.loop.now();
+  call_open_ = true;
+  context_.store.grant_lease(lease_ttl_, [this, sent, alive = alive_](const lease_answer& it) {
+    if (!*alive) {
+      return;
+    }
+    call_open_ = false;
+    next_renewal_ = context_.loop.now() + tick_interval;
+    if (it.status != store_status::ok || leaving_) {
+      return;
+    }
+    lease_ = it.lease;
+    valid_until_ = sent + it.ttl - safety_margin;
+    enter();
+  });
+}
+
+void member_task::enter() {
+  const duties::member self{.id = context_.identity.member_id(),
+                            .instance = context_.identity.name,
+                            .data_centre = context_.identity.data_centre,
+                            .region = context_.identity.region,
+                            .address = address_,
+                            .draining = draining_};
+  call_open_ = true;
+  const std::uint64_t lease = lease_;
+  store_change change;
+  change.puts.push_back({key(), duties::to_document(self), lease});
+  context_.store.commit(change, [this, lease, alive = alive_](const commit_answer& it) {
+    if (!*alive) {
+      return;
+    }
+    call_open_ = false;
+    const time_point now = context_.loop.now();
+    next_renewal_ = now + tick_interval;
+    if (leaving_ || lease != lease_) {
+      return;
+    }
+    if (it.status == store_status::missing) {
+      lease_ = 0;
+      return;
+    }
+    if (it.status == store_status::ok) {
+      entered_ = true;
+      next_renewal_ = now + lease_ttl_ / renewals_per_lease;
+      context_.record(events::event_number::membership_changed, {}, {}, {{"entered", true}});
+      changed.emit();
+    }
+  });
+}
+
+void member_task::renew() {
+  const time_point sent = context_.loop.now();
+  call_open_ = true;
+  context_.store.keep_lease(lease_, [this, sent, alive = alive_](const lease_answer& it) {
+    if (!*alive) {
+      return;
+    }
+    call_open_ = false;
+    if (it.status == store_status::ok) {
+      valid_until_ = sent + lease_ttl_ - safety_margin;
+      next_renewal_ = sent + lease_ttl_ / renewals_per_lease;
+      return;
+    }
+    next_renewal_ = context_.loop.now() + tick_interval;
+    if (it.status == store_status::missing && !leaving_) {
+      lease_ = 0;
+      entered_ = false;
+      token_ = 0;
+      context_.record(events::event_number::lease_lost, {}, {}, {{"duty", "all"}});
+    }
+  });
+}
+
+void member_task::claim_duties() {
+  const time_point now = context_.loop.now();
+  const duties::member* oldest = members_.oldest();
+  if (draining_ || !is_member(now) || oldest == nullptr ||
+      oldest->id != context_.identity.member_id()) {
+    token_ = 0;
+    return;
+  }
+  if (token_ != 0 || claim_open_ || now < next_claim_) {
+    return;
+  }
+  claim_open_ = true;
+  next_claim_ = now + claim_retry;
+  context_.store.read(std::string(duties_key), [this, alive = alive_](const read_answer& found) {
+    if (*alive) {
+      take_claim(found);
+    }
+  });
+}
+
+void member_task::take_claim(const read_answer& found) {
+  const std::string self = context_.identity.member_id();
+  if (found.status != store_status::ok && found.status != store_status::missing) {
+    claim_open_ = false;
+    return;
+  }
+  if (found.status == store_status::ok && found.item.value == self &&
+      found.item.revision != rejected_token_) {
+    // An earlier claim took effect without an answer.
+    claim_open_ = false;
+    token_ = found.item.revision;
+  } else {
+    store_change change;
+    change.expected.push_back({std::string(duties_key), found.item.revision});
+    change.puts.push_back({std::string(duties_key), self, 0});
+    context_.store.commit(change, [this, alive = alive_](const commit_answer& it) {
+      if (!*alive) {
+        return;
+      }
+      claim_open_ = false;
+      if (it.status == store_status::ok) {
+        token_ = it.revision;
+        context_.record(events::event_number::lease_acquired, {}, {},
+                        {{"duty", "all"}, {"fencing_token", token_}});
+      }
+    });
+  }
+}
+
+} // namespace boragedoor::instance
--- /dev/null
+++ b/libs/instance/weight_task.cpp
@@ -0,0 +1,153 @@
+#include "instance/weight_task.h"
+
+#include <utility>
+
+namespace boragedoor::instance {
+
+namespace {
+
+using events::event_number;
+
+constexpr duration tick_interval = milliseconds(50);
+constexpr duration call_timeout = seconds(1);
+constexpr duration connect_timeout = milliseconds(300);
+/// Loading takes about 0.9 s; reports are some hundred milliseconds old.
+constexpr duration first_poll = milliseconds(1000);
+constexpr duration poll_interval = milliseconds(300);
+constexpr duration load_limit = milliseconds(3800);
+
+constexpr int accepted = 202;
+constexpr int already_holds = 200;
+constexpr int superseded = 412;
+
+} // namespace
+
+weight_task::weight_task(instance_context& context, member_task& members)
+    : context_(context), members_(members), timer_(context.loop, [this] { tick(); }) {}
+
+void weight_task::start() {
+  timer_.start_periodic(tick_interval);
+}
+
+std::vector<duties::engine_state> weight_task::engines() const {
+  std::vector<duties::engine_state> list;
+  for (const auto& [id, it] : context_.endpoints.entries()) {
+    if (!it.versions.empty() && it.description.state == routing::endpoint_state::ready) {
+      list.push_back({id, context_.endpoints.load_of(id, context_.loop.now()), it.versions});
+    }
+  }
+  return list;
+}
+
+void weight_task::tick() {
+  const time_point now = context_.loop.now();
+  if (!members_.permit(now)) {
+    return;
+  }
+  for (const duties::load_order& order : schedule_.decide(engines(), now)) {
+    ask_report(order, false, now + load_limit);
+  }
+}
+
+void weight_task::ask_report(const duties::load_order& order, bool ordered, time_point give_up) {
+  const auto* entry = context_.endpoints.find(order.engine);
+  if (entry == nullptr || context_.loop.now() > give_up) {
+    fail(order, entry == nullptr ? "gone" : "no_effect");
+    return;
+  }
+  http1::call_spec spec;
+  spec.target = entry->address;
+  spec.message = context_.protocol.report(order.engine);
+  spec.connect_timeout = connect_timeout;
+  spec.progress_timeout = call_timeout;
+  http1::call_callbacks callbacks;
+  callbacks.on_end = [this, order, ordered, give_up](http1::call_outcome outcome,
+                                                     const http1::response& it) {
+    const auto report =
+        outcome == http1::call_outcome::complete ? context_.protocol.read_report(it) : std::nullopt;
+    if (report) {
+      take_report(order, *report, ordered, give_up);
+    } else {
+      fail(order, "no_report");
+    }
+  };
+  context_.calls.send(std::move(spec), std::move(callbacks));
+}
+
+void weight_task::take_report(const duties::load_order& order, const engine_report& report,
+                              bool ordered, time_point give_up) {
+  for (const auto& [model, version] : report.versions) {
+    context_.endpoints.note_version(order.engine, model, version);
+  }
+  const auto held = report.versions.find(order.model);
+  if (held != report.versions.end() && held->second >= order.version) {
+    schedule_.loaded(order.engine, order.model, held->second);
+    context_.record(event_number::weights_swapped, {}, order.engine,
+                    {{"model", order.model}, {"version", held->second}});
+    return;
+  }
+  if (ordered || report.order_in_progress) {
+    context_.loop.post_after(poll_interval,
+                             [this, order, give_up] { ask_report(order, true, give_up); });
+    return;
+  }
+  send_order(order, report.order_sequence, give_up);
+}
+
+void weight_task::send_order(const duties::load_order& order, std::uint64_t sequence,
+                             time_point give_up) {
+  const auto permit = members_.permit(context_.loop.now());
+  const auto* entry = context_.endpoints.find(order.engine);
+  if (!permit || entry == nullptr) {
+    fail(order, "no_permit");
+    return;
+  }
+  http1::call_spec spec;
+  spec.target = entry->address;
+  spec.message = context_.protocol.order({.endpoint = order.engine,
+                                          .model = order.model,
+                                          .version = order.version,
+                                          .mode = load_mode::retain,
+                                          .holder = context_.identity.name,
+                                          .fencing_token = permit->fencing_token,
+                                          // An order that arrives late changes nothing.
+                                          .expected_sequence = sequence});
+  spec.connect_timeout = connect_timeout;
+  spec.progress_timeout = call_timeout;
+  http1::call_callbacks callbacks;
+  callbacks.on_end = [this, order, give_up, token = permit->fencing_token](
+                         http1::call_outcome outcome, const http1::response& it) {
+    const int status = outcome == http1::call_outcome::complete ? it.status : 0;
+    context_.record(status == accepted || status == already_holds ? event_number::order_confirmed
+                                                                  : event_number::order_refused,
+                    {}, order.engine,
+                    {{"model", order.model},
+                     {"version", order.version},
+                     {"status", status},
+                     {"outcome", to_string(outcome)},
+                     {"fencing_token", token}});
+    if (status == superseded) {
+      members_.reject_token(token);
+    }
+    if (status == accepted || status == already_holds) {
+      context_.loop.post_after(first_poll,
+                               [this, order, give_up] { ask_report(order, true, give_up); });
+    } else {
+      fail(order, "refused");
+    }
+  };
+  context_.record(event_number::order_sent, {}, order.engine,
+                  {{"model", order.model},
+                   {"version", order.version},
+                   {"fencing_token", permit->fencing_token},
+                   {"expected_sequence", sequence}});
+  context_.calls.send(std::move(spec), std::move(callbacks));
+}
+
+void weight_task::fail(const duties::load_order& order, std::string_view reason) {
+  context_.record(event_number::weights_swap_failed, {}, order.engine,
+                  {{"model", order.model}, {"version", order.version}, {"reason", reason}});
+  schedule_.failed(order.engine, context_.loop.now());
+}
+
+} // namespace boragedoor::instance
--- /dev/null
+++ b/libs/instance/weight_task.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "duties/weight_schedule.h"
+#include "instance/configuration_task.h"
+#include "instance/instance_context.h"
+#include "instance/member_task.h"
+
+namespace boragedoor::instance {
+
+/// Orders engines to load the versions that trainers name, while this process holds the duties.
+class weight_task {
+public:
+  weight_task(instance_context& context, member_task& members);
+
+  void start();
+  void name(const named_version& it) { schedule_.name(it.model, it.version); }
+
+private:
+  void tick();
+  [[nodiscard]] std::vector<duties::engine_state> engines() const;
+  void ask_report(const duties::load_order& order, bool ordered, time_point give_up);
+  void take_report(const duties::load_order& order, const engine_report& report, bool ordered,
+                   time_point give_up);
+  void send_order(const duties::load_order& order, std::uint64_t sequence, time_point give_up);
+  void fail(const duties::load_order& order, std::string_view reason);
+
+  instance_context& context_;
+  member_task& members_;
+  duties::weight_schedule schedule_;
+  net::timer timer_;
+};
+
+} // namespace boragedoor::instance
--- /dev/null
+++ b/libs/jobs/job_documents.cpp
@@ -0,0 +1,244 @@
+#include "jobs/job_documents.h"
+
+#include <charconv>
+
+#include <fmt/format.h>
+
+#include "base/json.h"
+#include "base/json_fields.h"
+
+namespace boragedoor::jobs {
+
+namespace {
+
+constexpr std::string_view root = "boragedoor/";
+/// Wide enough for the items of any job; keys sort by their text.
+constexpr int position_digits = 6;
+
+json binary(std::string_view data) {
+  return json::binary(std::vector<std::uint8_t>(data.begin(), data.end()));
+}
+
+bool read_binary(const json& object, std::string_view name, std::string& to) {
+  const auto it = object.find(name);
+  if (it == object.end() || !it->is_binary()) {
+    return false;
+  }
+  const auto& data = it->get_binary();
+  to.assign(data.begin(), data.end());
+  return true;
+}
+
+std::int64_t to_number(wall_time at) {
+  return at.time_since_epoch().count();
+}
+
+bool read_time(const json& object, std::string_view name, wall_time& to) {
+  const auto value = integer_field(object, name);
+  if (value) {
+    to = wall_time(duration(*value));
+  }
+  return value.has_value();
+}
+
+json to_json(const job_item& it) {
+  json headers = json::array();
+  for (const auto& [name, value] : it.headers) {
+    headers.push_back({name, value});
+  }
+  json out = {{"id", it.id},
+              {"path", it.path},
+              {"headers", std::move(headers)},
+              {"body", binary(it.body)},
+              {"model", it.model},
+              {"group", it.group},
+              {"expected", it.expected_tokens}};
+  if (it.reward) {
+    out["reward"] = {{"id", it.reward->id},
+                     {"host", it.reward->host},
+                     {"path", it.reward->path},
+                     {"body", binary(it.reward->body)}};
+  }
+  return out;
+}
+
+bool read_item(const json& from, job_item& to) {
+  const auto expected = integer_field(from, "expected");
+  if (!read_field(from, "id", to.id) || !read_field(from, "path", to.path) ||
+      !read_binary(from, "body", to.body) || !read_field(from, "model", to.model) ||
+      !read_field(from, "group", to.group) || !expected) {
+    return false;
+  }
+  to.expected_tokens = *expected;
+  const json* headers = array_field(from, "headers");
+  if (headers == nullptr) {
+    return false;
+  }
+  for (const json& it : *headers) {
+    if (!it.is_array() || it.size() != 2 || !it[0].is_string() || !it[1].is_string()) {
+      return false;
+    }
+    to.headers.emplace_back(it[0].get<std::string>(), it[1].get<std::string>());
+  }
+  const auto reward = from.find("reward");
+  if (reward == from.end()) {
+    return true;
+  }
+  to.reward.emplace();
+  return read_field(*reward, "id", to.reward->id) && read_field(*reward, "host", to.reward->host) &&
+         read_field(*reward, "path", to.reward->path) &&
+         read_binary(*reward, "body", to.reward->body);
+}
+
+error damaged(std::string_view what) {
+  return {error_code::protocol, fmt::format("the stored {} cannot be read", what)};
+}
+
+} // namespace
+
+std::string to_document(const job& it) {
+  json items = json::array();
+  for (const job_item& one : it.items) {
+    items.push_back(to_json(one));
+  }
+  return to_cbor({{"id", it.id},
+                  {"workspace", it.workspace},
+                  {"route", it.route},
+                  {"host", it.host},
+                  {"step", it.step},
+                  {"minimum_version", it.minimum_version},
+                  {"single_version", it.single_version},
+                  {"desired_groups", it.desired_groups},
+                  {"max_attempts", it.max_attempts},
+                  {"submitted", to_number(it.submitted)},
+                  {"due", to_number(it.due)},
+                  {"give_up", to_number(it.give_up)},
+                  {"items", std::move(items)}});
+}
+
+result<job> job_from_document(std::string_view document) {
+  const auto parsed = parse_cbor(document);
+  if (!parsed) {
+    return parsed.error();
+  }
+  const json& from = parsed.value();
+  job it;
+  const auto attempts = integer_field(from, "max_attempts");
+  const json* items = array_field(from, "items");
+  if (!read_field(from, "id", it.id) || !read_field(from, "workspace", it.workspace) ||
+      !read_field(from, "route", it.route) || !read_field(from, "host", it.host) ||
+      !read_field(from, "step", it.step) ||
+      !read_field(from, "minimum_version", it.minimum_version) ||
+      !read_field(from, "single_version", it.single_version) ||
+      !read_field(from, "desired_groups", it.desired_groups) ||
+      !read_time(from, "submitted", it.submitted) || !read_time(from, "due", it.due) ||
+      !read_time(from, "give_up", it.give_up) || !attempts || items == nullptr) {
+    return damaged("job");
+  }
+  it.max_attempts = static_cast<int>(*attempts);
+  it.items.resize(items->size());
+  for (std::size_t n = 0; n < items->size(); ++n) {
+    if (!read_item((*items)[n], it.items[n])) {
+      return damaged("job");
+    }
+  }
+  return it;
+}
+
+std::string to_document(const job_record& it) {
+  return to_cbor({{"id", it.id},
+                  {"workspace", it.workspace},
+                  {"total", it.total},
+                  {"runner", it.runner},
+                  {"ended", it.ended},
+                  {"submitted", to_number(it.submitted)}});
+}
+
+result<job_record> record_from_document(std::string_view document) {
+  const auto parsed = parse_cbor(document);
+  if (!parsed) {
+    return parsed.error();
+  }
+  const json& from = parsed.value();
+  job_record it;
+  if (!read_field(from, "id", it.id) || !read_field(from, "workspace", it.workspace) ||
+      !read_field(from, "total", it.total) || !read_field(from, "runner", it.runner) ||
+      !read_field(from, "ended", it.ended) || !read_time(from, "submitted", it.submitted)) {
+    return damaged("job record");
+  }
+  return it;
+}
+
+std::string to_document(std::span<const item_result> list) {
+  json out = json::array();
+  for (const item_result& it : list) {
+    out.push_back({{"id", it.id},
+                   {"done", it.state == item_state::done},
+                   {"text", binary(it.text)},
+                   {"versions", it.versions},
+                   {"score", it.score}});
+  }
+  return to_cbor(out);
+}
+
+result<std::vector<item_result>> results_from_document(std::string_view document) {
+  const auto parsed = parse_cbor(document);
+  if (!parsed) {
+    return parsed.error();
+  }
+  if (!parsed.value().is_array()) {
+    return damaged("results");
+  }
+  std::vector<item_result> list;
+  for (const json& from : parsed.value()) {
+    item_result it;
+    bool done = false;
+    const json* versions = array_field(from, "versions");
+    if (!read_field(from, "id", it.id) || !read_field(from, "done", done) ||
+        !read_binary(from, "text", it.text) || !read_field(from, "score", it.score) ||
+        versions == nullptr) {
+      return damaged("results");
+    }
+    it.state = done ? item_state::done : item_state::terminated;
+    for (const json& version : *versions) {
+      if (!version.is_number_unsigned()) {
+        return damaged("results");
+      }
+      it.versions.push_back(version.get<std::uint64_t>());
+    }
+    list.push_back(std::move(it));
+  }
+  return list;
+}
+
+std::string record_prefix() {
+  return fmt::format("{}jobs/", root);
+}
+
+std::string record_key(std::string_view job) {
+  return fmt::format("{}{}", record_prefix(), job);
+}
+
+std::string contents_key(std::string_view job) {
+  return fmt::format("{}contents/{}", root, job);
+}
+
+std::string results_prefix(std::string_view job) {
+  return fmt::format("{}results/{}/", root, job);
+}
+
+std::string results_key(std::string_view job, std::size_t end) {
+  return fmt::format("{}{:0{}}", results_prefix(job), end, position_digits);
+}
+
+result<std::size_t> end_of_results_key(std::string_view key) {
+  const std::string_view digits = key.substr(key.rfind('/') + 1);
+  std::size_t value = 0;
+  const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), value);
+  if (ec != std::errc() || end != digits.data() + digits.size()) {
+    return error{error_code::protocol, fmt::format("{} is no key of results", key)};
+  }
+  return value;
+}
+
+} // namespace boragedoor::jobs
--- /dev/null
+++ b/libs/jobs/job_run.cpp
@@ -0,0 +1,343 @@
+#include "jobs/job_run.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace boragedoor::jobs {
+
+namespace {
+
+/// Endpoints that an item keeps away from after failed runs. With more, few would be left.
+constexpr std::size_t most_avoided = 2;
+
+} // namespace
+
+job_run::job_run(job contents, std::span<const item_result> listed, const job_run_options& options)
+    : job_(std::move(contents)), options_(options), runs_(job_.items.size()) {
+  std::map<std::string_view, std::size_t> index;
+  for (std::size_t n = 0; n < job_.items.size(); ++n) {
+    index.emplace(job_.items[n].id, n);
+  }
+  for (const item_result& it : listed) {
+    if (const auto found = index.find(it.id); found != index.end()) {
+      runs_[found->second].at = phase::handed_over;
+    }
+  }
+  rank_items();
+}
+
+void job_run::rank_items() {
+  // A group is complete with its longest item, so groups are judged by that. The trainer stops
+  // waiting once it has `desired_groups`: the longest groups beyond that number come last. Among
+  // the others the longest items go first, because they decide when the last group is complete.
+  std::map<std::string_view, std::int64_t> longest;
+  std::vector<std::string_view> groups;
+  for (const job_item& it : job_.items) {
+    const auto [found, added] = longest.emplace(it.group, it.expected_tokens);
+    if (added) {
+      groups.emplace_back(it.group);
+    }
+    found->second = std::max(found->second, it.expected_tokens);
+  }
+  std::stable_sort(groups.begin(), groups.end(),
+                   [&](std::string_view a, std::string_view b) { return longest[a] < longest[b]; });
+  const std::size_t wanted =
+      job_.desired_groups == 0 ? groups.size() : std::min(job_.desired_groups, groups.size());
+  const std::set<std::string_view> surplus(groups.begin() + static_cast<std::ptrdiff_t>(wanted),
+                                           groups.end());
+  order_.resize(runs_.size());
+  std::iota(order_.begin(), order_.end(), std::size_t{0});
+  std::stable_sort(order_.begin(), order_.end(), [&](std::size_t a, std::size_t b) {
+    const bool late_a = surplus.contains(job_.items[a].group);
+    const bool late_b = surplus.contains(job_.items[b].group);
+    if (late_a != late_b) {
+      return late_b;
+    }
+    return job_.items[a].expected_tokens > job_.items[b].expected_tokens;
+  });
+  for (std::size_t n = 0; n < order_.size(); ++n) {
+    runs_[order_[n]].rank = n;
+  }
+}
+
+std::optional<std::size_t> job_run::next_item(time_point now) const {
+  for (const std::size_t n : order_) {
+    if (runs_[n].at == phase::waiting && runs_[n].not_before <= now) {
+      return n;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<std::uint64_t> job_run::last_event(std::size_t n) const {
+  return runs_[n].last_event;
+}
+
+std::string_view job_run::group_endpoint(std::size_t n) const {
+  const auto it = group_endpoints_.find(job_.items[n].group);
+  return it == group_endpoints_.end() ? std::string_view() : it->second;
+}
+
+std::span<const std::string> job_run::avoided(std::size_t n) const {
+  return runs_[n].avoided;
+}
+
+void job_run::started(std::size_t n, std::string_view endpoint, time_point now) {
+  item_run& it = runs_[n];
+  it.at = phase::running;
+  it.endpoint = endpoint;
+  it.run_version = 0;
+  it.run_events = 0;
+  it.run_started = now;
+  it.last_progress = now;
+  group_endpoints_.emplace(job_.items[n].group, endpoint);
+}
+
+bool job_run::note_version(std::size_t n, std::uint64_t version) {
+  item_run& it = runs_[n];
+  it.run_version = version;
+  if (version < job_.minimum_version) {
+    return false;
+  }
+  // A text of one version starts anew where the version has changed.
+  return !job_.single_version || it.versions.empty() || it.versions.contains(version);
+}
+
+bool job_run::take_event(std::size_t n, const stream_event& event, time_point now) {
+  item_run& it = runs_[n];
+  if (!event.id || (it.last_event && *event.id != *it.last_event + 1)) {
+    return false;
+  }
+  if (it.has_text) {
+    it.text += '\n';
+  }
+  it.text += event.data;
+  it.has_text = true;
+  it.last_event = event.id;
+  it.versions.insert(it.run_version);
+  it.last_progress = now;
+  it.barren_runs = 0;
+  ++it.run_events;
+  it.avoided.clear();
+  return true;
+}
+
+void job_run::ended(std::size_t n, run_end how, time_point now) {
+  item_run& it = runs_[n];
+  if (it.at != phase::running) {
+    return;
+  }
+  const std::string endpoint = std::exchange(it.endpoint, {});
+  if (const auto found = group_endpoints_.find(job_.items[n].group);
+      how != run_end::complete && found != group_endpoints_.end() && found->second == endpoint) {
+    group_endpoints_.erase(found);
+  }
+  it.at = phase::waiting;
+  switch (how) {
+  case run_end::complete:
+    if (!it.has_text) {
+      retry_later(it, endpoint, now);
+      return;
+    }
+    it.at = phase::text_done;
+    it.not_before = now;
+    if (!job_.items[n].reward) {
+      finish(it, item_state::done, now);
+    }
+    return;
+  case run_end::impossible:
+    finish(it, item_state::terminated, now);
+    return;
+  case run_end::failed:
+    if (++it.failures >= job_.max_attempts) {
+      finish(it, item_state::terminated, now);
+      return;
+    }
+    retry_later(it, endpoint, now);
+    return;
+  case run_end::stale_weights:
+    if (job_.single_version) {
+      it.text.clear();
+      it.has_text = false;
+      it.last_event.reset();
+      it.versions.clear();
+    }
+    retry_later(it, endpoint, now);
+    return;
+  case run_end::moved:
+    it.avoided.assign(1, endpoint);
+    it.not_before = now;
+    return;
+  case run_end::broken:
+  case run_end::not_run:
+    retry_later(it, endpoint, now);
+    return;
+  }
+}
+
+void job_run::retry_later(item_run& it, std::string_view endpoint, time_point now) {
+  duration delay = options_.first_retry;
+  for (int n = 0; n < it.barren_runs && delay < options_.longest_retry; ++n) {
+    delay *= 2;
+  }
+  ++it.barren_runs;
+  it.not_before = now + std::min(delay, options_.longest_retry);
+  it.avoided.emplace_back(endpoint);
+  if (it.avoided.size() > most_avoided) {
+    it.avoided.erase(it.avoided.begin());
+  }
+}
+
+void job_run::finish(item_run& it, item_state outcome, time_point now) {
+  it.at = phase::finished;
+  it.outcome = outcome;
+  it.finished_at = now;
+}
+
+std::optional<std::size_t> job_run::next_reward(time_point now) const {
+  for (const std::size_t n : order_) {
+    if (runs_[n].at == phase::text_done && runs_[n].not_before <= now) {
+      return n;
+    }
+  }
+  return std::nullopt;
+}
+
+void job_run::reward_started(std::size_t n) {
+  runs_[n].at = phase::scoring;
+}
+
+void job_run::reward_ended(std::size_t n, reward_end how, std::string score, int reward_attempts,
+                           time_point now) {
+  item_run& it = runs_[n];
+  if (it.at != phase::scoring) {
+    return;
+  }
+  if (how == reward_end::scored) {
+    it.score = std::move(score);
+    finish(it, item_state::done, now);
+    return;
+  }
+  if (how == reward_end::failed && ++it.reward_failures >= reward_attempts) {
+    finish(it, item_state::terminated, now);
+    return;
+  }
+  it.at = phase::text_done;
+  it.not_before = now + options_.first_retry;
+}
+
+std::optional<double> job_run::pace(const item_run& it) const {
+  if (it.at != phase::running || it.run_events < options_.pace_events) {
+    return std::nullopt;
+  }
+  const auto took = it.last_progress - it.run_started;
+  return std::chrono::duration<double>(took).count() / it.run_events;
+}
+
+std::vector<std::size_t> job_run::slow_runs(time_point now) const {
+  std::vector<double> paces;
+  for (const item_run& it : runs_) {
+    if (const auto value = pace(it)) {
+      paces.push_back(*value);
+    }
+  }
+  double median = 0;
+  if (!paces.empty()) {
+    const auto middle = paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
+    std::nth_element(paces.begin(), middle, paces.end());
+    median = *middle;
+  }
+  std::vector<std::size_t> slow;
+  for (const std::size_t n : order_) {
+    const item_run& it = runs_[n];
+    if (it.at != phase::running) {
+      continue;
+    }
+    const auto value = pace(it);
+    const bool behind = value && median > 0 && *value > options_.slow_factor * median;
+    if (behind || now - it.last_progress > options_.stall_limit) {
+      slow.push_back(n);
+    }
+  }
+  return slow;
+}
+
+void job_run::give_up(wall_time now, time_point monotonic) {
+  if (now < job_.give_up) {
+    return;
+  }
+  for (item_run& it : runs_) {
+    if (it.at != phase::finished && it.at != phase::handed_over) {
+      finish(it, item_state::terminated, monotonic);
+    }
+  }
+}
+
+bool job_run::group_finished(std::string_view group) const {
+  for (std::size_t n = 0; n < runs_.size(); ++n) {
+    if (job_.items[n].group == group && runs_[n].at != phase::finished &&
+        runs_[n].at != phase::handed_over) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool job_run::results_due(time_point now) const {
+  for (std::size_t n = 0; n < runs_.size(); ++n) {
+    if (runs_[n].at == phase::finished && (now - runs_[n].finished_at >= options_.listing_delay ||
+                                           group_finished(job_.items[n].group))) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::vector<item_result> job_run::take_results(std::size_t max_bytes) {
+  std::vector<item_result> list;
+  std::size_t bytes = 0;
+  for (const std::size_t n : order_) {
+    item_run& it = runs_[n];
+    if (it.at != phase::finished) {
+      continue;
+    }
+    const std::size_t size = it.text.size();
+    if (!list.empty() && bytes + size > max_bytes) {
+      break;
+    }
+    bytes += size;
+    it.at = phase::handed_over;
+    item_result result{.id = job_.items[n].id, .state = it.outcome};
+    if (it.outcome == item_state::done) {
+      result.text = std::move(it.text);
+      result.versions.assign(it.versions.begin(), it.versions.end());
+      result.score = std::move(it.score);
+    }
+    // The texts are most of the memory of a job.
+    it.text = std::string();
+    list.push_back(std::move(result));
+  }
+  return list;
+}
+
+bool job_run::all_finished() const {
+  return unfinished() == 0;
+}
+
+std::size_t job_run::running() const {
+  return static_cast<std::size_t>(std::count_if(
+      runs_.begin(), runs_.end(), [](const item_run& it) { return it.at == phase::running; }));
+}
+
+std::size_t job_run::waiting() const {
+  return static_cast<std::size_t>(std::count_if(
+      runs_.begin(), runs_.end(), [](const item_run& it) { return it.at == phase::waiting; }));
+}
+
+std::size_t job_run::unfinished() const {
+  return static_cast<std::size_t>(std::count_if(
+      runs_.begin(), runs_.end(), [](const item_run& it) { return it.at != phase::handed_over; }));
+}
+
+} // namespace boragedoor::jobs
