Keep steps whole while engines load, slow down or the store refuses an instance

Change: at a version only engines that are too old load, and of the others as many as bring half to it; runs that stall six median intervals move; moved runs tell of the pace of their engine; long runs prefer fast engines; refusals count as full for 200 ms; complete groups are listed at once and reads wait for them; an instance that the store does not serve sends its calls through another one (store_path, relay_listener).

--- a/libs/dispatch/service_endpoints.cpp
+++ b/libs/dispatch/service_endpoints.cpp
@@ -17,6 +17,16 @@
 /// What distance adds to the load of an endpoint, in shares of its places. Traffic between data
 /// centres is charged, but a request that queues in its own costs its caller more.
 constexpr double other_data_centre_penalty = 0.25;
+/// The same for requests that run for seconds.
+constexpr double far_long_run_penalty = 0.02;
+/// Cost of an event interval that is twice the shortest known one.
+constexpr double slowness_penalty = 1.0;
+/// Part of a new interval in the smoothed one.
+constexpr double interval_weight = 0.3;
+/// Cost of an endpoint that refused a request lately, and how long that counts: loads of weights
+/// take about a second, full queues less.
+constexpr double refusal_penalty = 1.0;
+constexpr duration refusal_time = milliseconds(200);
 /// Cost of an endpoint on probation: one request at a time goes there when others are busy.
 constexpr double probation_penalty = 0.6;
 /// Cost of one that is set aside: used when no other is left.
@@ -69,6 +79,12 @@
 void service_endpoints::remove(std::string_view id) {
   table_.remove(id);
   health_.remove(id);
+  if (const auto it = intervals_.find(id); it != intervals_.end()) {
+    intervals_.erase(it);
+  }
+  if (const auto it = refused_until_.find(id); it != refused_until_.end()) {
+    refused_until_.erase(it);
+  }
   if (const auto it = entries_.find(id); it != entries_.end()) {
     entries_.erase(it);
   }
@@ -79,6 +95,49 @@
   return it == entries_.end() ? nullptr : &it->second;
 }
 
+bool service_endpoints::refused_lately(std::string_view id, time_point now) const {
+  const auto it = refused_until_.find(id);
+  return it != refused_until_.end() && now < it->second;
+}
+
+bool service_endpoints::has_free_place(const endpoint_entry& it, time_point now) const {
+  const std::string& id = it.description.id;
+  return load_of(id, now) < it.description.max_running && !refused_lately(id, now) &&
+         health_.state(id) != routing::health_state::set_aside;
+}
+
+double service_endpoints::fastest_interval() const {
+  double fastest = 0;
+  for (const auto& [id, value] : intervals_) {
+    fastest = fastest == 0 ? value : std::min(fastest, value);
+  }
+  return fastest;
+}
+
+double service_endpoints::cost_of(const endpoint_entry& it, const endpoint_need& need,
+                                  time_point now) const {
+  const routing::endpoint& where = it.description;
+  double cost = static_cast<double>(load_of(where.id, now)) / where.max_running;
+  if (where.data_centre != data_centre_) {
+    cost += need.long_running ? far_long_run_penalty : other_data_centre_penalty;
+  }
+  if (const auto interval = intervals_.find(where.id);
+      need.long_running && interval != intervals_.end()) {
+    cost += slowness_penalty * (interval->second / fastest_interval() - 1);
+  }
+  cost -= where.id == need.preferred ? preference : 0;
+  cost += refused_lately(where.id, now) ? refusal_penalty : 0;
+  switch (health_.state(where.id)) {
+  case routing::health_state::healthy:
+    return cost;
+  case routing::health_state::probation:
+    return cost + probation_penalty;
+  case routing::health_state::set_aside:
+    return cost + set_aside_penalty;
+  }
+  return cost;
+}
+
 std::optional<chosen_endpoint> service_endpoints::choose(const endpoint_need& need, time_point now,
                                                          random_engine& random) const {
   const routing::route_request asked{.pool = need.service, .excluded = need.excluded};
@@ -86,24 +145,11 @@
   double least = 0;
   int ties = 0;
   for (const auto& [id, it] : entries_) {
-    const routing::endpoint& where = it.description;
-    if (!routing::meets_needs(where, asked) || !holds_weights(it, need)) {
+    if (!routing::meets_needs(it.description, asked) || !holds_weights(it, need) ||
+        (need.needs_free_place && !has_free_place(it, now))) {
       continue;
     }
-    const routing::health_state health = health_.state(id);
-    const int load = load_of(id, now);
-    if (need.needs_free_place &&
-        (load >= where.max_running || health == routing::health_state::set_aside)) {
-      continue;
-    }
-    double cost = static_cast<double>(load) / where.max_running;
-    cost += where.data_centre == data_centre_ ? 0 : other_data_centre_penalty;
-    cost -= id == need.preferred ? preference : 0;
-    if (health == routing::health_state::probation) {
-      cost += probation_penalty;
-    } else if (health == routing::health_state::set_aside) {
-      cost += set_aside_penalty;
-    }
+    const double cost = cost_of(it, need, now);
     // Among equals the choice is uniform, so that instances don't all pick the same one.
     if (best == nullptr || cost < least) {
       best = &it;
@@ -142,6 +188,17 @@
   health_.record_pace(id, latency, 1, now);
 }
 
+void service_endpoints::note_event_interval(std::string_view id, double value) {
+  const auto [it, added] = intervals_.try_emplace(std::string(id), value);
+  if (!added) {
+    it->second += interval_weight * (value - it->second);
+  }
+}
+
+void service_endpoints::note_refused(std::string_view id, time_point now) {
+  refused_until_[std::string(id)] = now + refusal_time;
+}
+
 void service_endpoints::note_load(std::string_view id, int running, int waiting, time_point now) {
   table_.report(id, {now, running, waiting});
 }
--- a/libs/dispatch/service_endpoints.h
+++ b/libs/dispatch/service_endpoints.h
@@ -38,6 +38,9 @@
   bool needs_free_place = false;
   /// An endpoint that is preferred while it has a free place, for example for a cached prompt.
   std::string_view preferred{};
+  /// The time that the request takes decides more than the way to it: fast endpoints are preferred,
+  /// wherever they are.
+  bool long_running = false;
 };
 
 struct chosen_endpoint {
@@ -64,6 +67,10 @@
   /// Notes the end of a request; `seen` is left out where it says nothing about the endpoint.
   void note_finished(std::string_view id, std::optional<routing::evidence> seen, time_point now);
   void note_latency(std::string_view id, duration latency, time_point now);
+  /// Notes the seconds between two events of a stream there.
+  void note_event_interval(std::string_view id, double value);
+  /// The endpoint refused a request for want of a place, or because it loads weights.
+  void note_refused(std::string_view id, time_point now);
   void note_load(std::string_view id, int running, int waiting, time_point now);
   /// The process at the endpoint's address is another one: it is not used until its entry changes.
   void note_misdirected(std::string_view id);
@@ -83,8 +90,17 @@
 private:
   service_endpoints(std::string data_centre, routing::endpoint_health health);
 
+  [[nodiscard]] double cost_of(const endpoint_entry& it, const endpoint_need& need,
+                               time_point now) const;
+  [[nodiscard]] bool has_free_place(const endpoint_entry& it, time_point now) const;
+  [[nodiscard]] bool refused_lately(std::string_view id, time_point now) const;
+  [[nodiscard]] double fastest_interval() const;
+
   std::string data_centre_;
   std::map<std::string, endpoint_entry, std::less<>> entries_;
+  /// Smoothed event intervals in seconds, and times until which endpoints count as full.
+  std::map<std::string, double, std::less<>> intervals_;
+  std::map<std::string, time_point, std::less<>> refused_until_;
   routing::endpoint_table table_;
   routing::endpoint_health health_;
 };
--- a/libs/duties/member_table.cpp
+++ b/libs/duties/member_table.cpp
@@ -17,12 +17,17 @@
 
 } // namespace
 
+std::string_view instance_of(std::string_view member_id) {
+  return member_id.substr(0, member_id.rfind('/'));
+}
+
 std::string to_document(const member& it) {
   return to_cbor({{"id", it.id},
                   {"instance", it.instance},
                   {"data_centre", it.data_centre},
                   {"region", it.region},
                   {"address", it.address},
+                  {"relay", it.relay},
                   {"draining", it.draining}});
 }
 
@@ -35,7 +40,8 @@
   member it;
   if (!read_field(from, "id", it.id) || !read_field(from, "instance", it.instance) ||
       !read_field(from, "data_centre", it.data_centre) || !read_field(from, "region", it.region) ||
-      !read_field(from, "address", it.address) || !read_field(from, "draining", it.draining)) {
+      !read_field(from, "address", it.address) || !read_field(from, "relay", it.relay) ||
+      !read_field(from, "draining", it.draining)) {
     return error{error_code::protocol, "the stored member cannot be read"};
   }
   return it;
--- a/libs/duties/member_table.h
+++ b/libs/duties/member_table.h
@@ -22,6 +22,8 @@
   std::string region;
   /// "host:port" of the listener for callers.
   std::string address;
+  /// "host:port" of the listener that relays calls to the store.
+  std::string relay;
   /// It finishes what it has and takes nothing new.
   bool draining = false;
   /// Revision at which the entry was created; lower is older.
@@ -30,6 +32,9 @@
   friend bool operator==(const member&, const member&) = default;
 };
 
+/// The instance of a member id.
+std::string_view instance_of(std::string_view member_id);
+
 std::string to_document(const member& it);
 /// Fails with `protocol`. `created` comes from the store, not from the document.
 result<member> member_from_document(std::string_view document);
--- a/libs/duties/weight_schedule.cpp
+++ b/libs/duties/weight_schedule.cpp
@@ -15,6 +15,11 @@
   return it == newest_.end() ? 0 : it->second;
 }
 
+bool weight_schedule::is_paused(std::string_view engine, time_point now) const {
+  const auto it = not_before_.find(engine);
+  return it != not_before_.end() && now < it->second;
+}
+
 std::vector<load_order> weight_schedule::decide(const std::vector<engine_state>& engines,
                                                 time_point now) {
   struct candidate {
@@ -25,13 +30,18 @@
   std::erase_if(loading_,
                 [&](const auto& it) { return now - it.second.since >= options_.load_timeout; });
   std::vector<candidate> waiting;
+  // Engines of each model, and those that hold its newest version or load it.
+  std::map<std::string_view, std::size_t> all;
+  std::map<std::string_view, std::size_t> current;
   for (const engine_state& it : engines) {
-    const auto pause = not_before_.find(it.id);
-    if (is_loading(it.id) || (pause != not_before_.end() && now < pause->second)) {
-      continue;
-    }
+    const auto loading = loading_.find(it.id);
     for (const auto& [model, version] : it.versions) {
-      if (const std::uint64_t target = newest(model); version < target) {
+      const std::uint64_t target = newest(model);
+      const bool loads_it = loading != loading_.end() && loading->second.order.model == model;
+      ++all[model];
+      if (version >= target || loads_it) {
+        ++current[model];
+      } else if (loading == loading_.end() && !is_paused(it.id, now)) {
         waiting.push_back({&it, &model, target - version});
       }
     }
@@ -47,8 +57,13 @@
     if (loading_.size() >= most) {
       break;
     }
+    const bool too_old = it.lag > options_.tolerated_lag;
+    if (!too_old && 2 * current[*it.model] >= all[*it.model]) {
+      continue;
+    }
     load_order order{it.engine->id, *it.model, newest(*it.model)};
     if (loading_.try_emplace(it.engine->id, load{order, now}).second) {
+      ++current[*it.model];
       orders.push_back(std::move(order));
     }
   }
--- a/libs/duties/weight_schedule.h
+++ b/libs/duties/weight_schedule.h
@@ -28,6 +28,9 @@
 };
 
 struct weight_schedule_options {
+  /// Versions that an engine may be behind the newest one and still be of use: a step accepts the
+  /// version before its own.
+  std::uint64_t tolerated_lag = 1;
   /// Engines that load at the same time; more slow each other down.
   std::size_t least_at_once = 2;
   double share_at_once = 0.22;
@@ -37,8 +40,13 @@
   duration retry_delay = milliseconds(500);
 };
 
-/// Decides which engines load new weights now. The engines that lag most go first, because the next
-/// step cannot use them; among equals, the least loaded.
+/// Decides which engines load new weights now.
+///
+/// Pattern: a step begins the moment a version is named, and its longest texts decide when it ends.
+/// An engine that loads halts its runs for about a second. So engines whose weights are too old for
+/// the new step load, and of the others only as many as bring half of all to the newest version:
+/// each engine loads at every second version, and the others run the step undisturbed. The least
+/// loaded go first.
 class weight_schedule {
 public:
   explicit weight_schedule(const weight_schedule_options& options = {}) : options_(options) {}
@@ -56,6 +64,8 @@
   [[nodiscard]] bool is_loading(std::string_view engine) const { return loading_.contains(engine); }
 
 private:
+  [[nodiscard]] bool is_paused(std::string_view engine, time_point now) const;
+
   struct load {
     load_order order;
     time_point since{};
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -196,6 +196,7 @@
         seen.reset();
       } else if (reply.not_run) {
         reason = "not_run";
+        context_.endpoints.note_refused(it.endpoint, now);
         result = dispatch::attempt_result::not_run;
         seen.reset();
       } else if (is_success(response.status) && reply.signature.empty()) {
--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -88,7 +88,8 @@
                                .minimum_version = job.minimum_version,
                                .excluded = run_.avoided(n),
                                .needs_free_place = true,
-                               .preferred = run_.group_endpoint(n)};
+                               .preferred = run_.group_endpoint(n),
+                               .long_running = true};
   auto chosen = context_.endpoints.choose(need, context_.loop.now(), context_.random);
   if (!chosen) {
     need.excluded = {};
@@ -203,6 +204,7 @@
     return;
   }
   if (reply.not_run) {
+    context_.endpoints.note_refused(it->endpoint, context_.loop.now());
     finish_run(*it, jobs::run_end::not_run, std::nullopt, "not_run");
     return;
   }
@@ -225,6 +227,9 @@
                             std::string_view reason) {
   const time_point now = context_.loop.now();
   context_.endpoints.note_finished(it.endpoint, seen, now);
+  if (const auto interval = run_.event_interval(it.item)) {
+    context_.endpoints.note_event_interval(it.endpoint, *interval);
+  }
   run_.ended(it.item, how, now);
   context_.record(event_number::item_ended, run_.item(it.item).id, it.endpoint,
                   {{"job", run_.contents().id},
@@ -245,6 +250,9 @@
   it->call->cancel();
   const time_point now = context_.loop.now();
   context_.endpoints.note_finished(it->endpoint, std::nullopt, now);
+  if (const auto interval = run_.event_interval(n)) {
+    context_.endpoints.note_event_interval(it->endpoint, *interval);
+  }
   run_.ended(n, how, now);
   context_.record(event_number::item_ended, run_.item(n).id, it->endpoint,
                   {{"job", run_.contents().id}, {"reason", reason}});
@@ -334,6 +342,8 @@
       seen = reply.signature.empty() ? routing::evidence::wrong_answer : routing::evidence::success;
     } else if (!reply.not_run && response.status >= 500) {
       how = jobs::reward_end::failed;
+    } else if (reply.not_run) {
+      context_.endpoints.note_refused(it->endpoint, now);
     }
   } else if (outcome == http1::call_outcome::timed_out) {
     seen = routing::evidence::progress_timeout;
--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -134,30 +134,63 @@
 }
 
 void job_service::read(const std::string& job, std::string_view workspace, std::size_t after,
-                       std::function<void(result<job_listing>)> done) {
+                       duration wait, std::function<void(result<job_listing>)> done) {
   with_record(job, workspace,
-              [this, job, after, done = std::move(done)](result<known_record> known) {
+              [this, job, after, wait, done = std::move(done)](const result<known_record>& known) {
                 if (!known) {
                   done(known.error());
                   return;
                 }
                 const std::size_t total = known.value().record.total;
                 const auto own = runners_.find(job);
-                if (own != runners_.end() && own->second->listed() <= after) {
-                  // Only this member lists results of the job, and it has none yet.
-                  done(job_listing{total, after, {}});
+                if (own == runners_.end() || own->second->listed() > after) {
+                  read_stored(job, after, total, after < total ? wait : duration::zero(), done);
                   return;
                 }
-                store_.read_results(job, after, [total, done](result<results_page> page) {
-                  if (!page) {
-                    done(page.error());
-                    return;
-                  }
-                  done(job_listing{total, page.value().next, std::move(page.value().results)});
-                });
+                // Only this member lists results of the job, so the store has no more of them.
+                waiting_.push_back({job, after, total, context_.loop.now() + wait, done});
               });
 }
 
+void job_service::read_stored(const std::string& job, std::size_t after, std::size_t total,
+                              duration wait, std::function<void(result<job_listing>)> done) {
+  store_.read_results(
+      job, after,
+      [this, job, after, total, wait, done = std::move(done)](result<results_page> page) {
+        if (!page) {
+          done(page.error());
+          return;
+        }
+        if (!page.value().results.empty() || wait == duration::zero()) {
+          done(job_listing{total, page.value().next, std::move(page.value().results)});
+          return;
+        }
+        store_.await_results(job, page.value().revision, wait, [this, job, after, total, done] {
+          read_stored(job, after, total, duration::zero(), done);
+        });
+      });
+}
+
+void job_service::answer_waiting(time_point now) {
+  std::vector<waiting_read> due;
+  std::erase_if(waiting_, [&](waiting_read& it) {
+    const auto own = runners_.find(it.job);
+    if (now < it.until && own != runners_.end() && own->second->listed() <= it.after) {
+      return false;
+    }
+    due.push_back(std::move(it));
+    return true;
+  });
+  for (waiting_read& it : due) {
+    const auto own = runners_.find(it.job);
+    if (own != runners_.end() && own->second->listed() <= it.after) {
+      it.done(job_listing{it.total, it.after, {}});
+    } else {
+      read_stored(it.job, it.after, it.total, duration::zero(), std::move(it.done));
+    }
+  }
+}
+
 void job_service::read_body(const std::string& job, std::string_view workspace, std::string item,
                             std::function<void(result<std::string>)> done) {
   const auto find = [item = std::move(item)](const jobs::job& in) -> result<std::string> {
@@ -296,6 +329,7 @@
     finished_.insert(it.first);
     return true;
   });
+  answer_waiting(now);
 }
 
 void job_service::take_over() {
@@ -318,7 +352,10 @@
     const bool inherits =
         heir != nullptr && heir->id == self &&
         members_.members().is_gone(known.record.runner, members_.watching_since(), now);
-    if (own || inherits) {
+    // A former process of this instance certainly has ended.
+    const bool own_past = known.record.runner != self &&
+                          duties::instance_of(known.record.runner) == context_.identity.name;
+    if (own || inherits || own_past) {
       wanted.push_back(known);
     }
   }
--- a/libs/instance/job_service.h
+++ b/libs/instance/job_service.h
@@ -45,9 +45,10 @@
 
   /// Keeps a job and starts to run it. Called again with the same job it answers the same.
   void submit(jobs::job it, std::function<void(submit_outcome)> done);
-  /// Reads results from position `after` on. Fails with `not_found` where the workspace has no such
-  /// job, and with another code if that is not known.
-  void read(const std::string& job, std::string_view workspace, std::size_t after,
+  /// Reads results from position `after` on; without any it waits for some, up to `wait`. Fails
+  /// with `not_found` where the workspace has no such job, and with another code if that is not
+  /// known.
+  void read(const std::string& job, std::string_view workspace, std::size_t after, duration wait,
             std::function<void(result<job_listing>)> done);
   /// Reads the body of an item.
   void read_body(const std::string& job, std::string_view workspace, std::string item,
@@ -61,10 +62,21 @@
 
 private:
   struct submission;
+  /// A read that waits for results of a job that runs here.
+  struct waiting_read {
+    std::string job;
+    std::size_t after = 0;
+    std::size_t total = 0;
+    time_point until{};
+    std::function<void(result<job_listing>)> done;
+  };
 
   void try_submit(const std::shared_ptr<submission>& it);
   void with_record(const std::string& job, std::string_view workspace,
                    std::function<void(result<known_record>)> done);
+  void read_stored(const std::string& job, std::size_t after, std::size_t total, duration wait,
+                   std::function<void(result<job_listing>)> done);
+  void answer_waiting(time_point now);
   void end_known(const known_record& known, int attempts_left,
                  std::function<void(result<void>)> done);
   void run(jobs::job contents, std::vector<jobs::item_result> listed);
@@ -81,6 +93,7 @@
   std::map<std::string, time_point, std::less<>> loading_;
   /// Jobs with nothing left to run or list, until their trainer ends them.
   std::set<std::string, std::less<>> finished_;
+  std::vector<waiting_read> waiting_;
   net::timer pump_timer_;
   net::timer takeover_timer_;
   bool draining_ = false;
--- a/libs/instance/job_store.cpp
+++ b/libs/instance/job_store.cpp
@@ -181,7 +181,7 @@
           done(unavailable("results"));
           return;
         }
-        results_page page{{}, after};
+        results_page page{{}, after, out.as_of};
         for (const stored_item& it : out.items) {
           const auto end = jobs::end_of_results_key(it.key);
           auto chunk = jobs::results_from_document(it.value);
@@ -201,6 +201,12 @@
       });
 }
 
+void job_store::await_results(const std::string& job, std::uint64_t revision, duration wait,
+                              std::function<void()> done) {
+  context_.store.watch(jobs::results_prefix(job), revision, wait,
+                       [done = std::move(done)](const watch_answer&) { done(); });
+}
+
 void job_store::replace_record(const known_record& old, jobs::job_record next,
                                std::function<void(result<known_record>)> done) {
   store_change change;
--- a/libs/instance/job_store.h
+++ b/libs/instance/job_store.h
@@ -34,6 +34,8 @@
 struct results_page {
   std::vector<jobs::item_result> results;
   std::size_t next = 0;
+  /// Store revision of the page, from which a wait for more continues.
+  std::uint64_t revision = 0;
 };
 
 enum class create_outcome {
@@ -70,6 +72,9 @@
   /// Reads results from position `after` on; one page of the store.
   void read_results(const std::string& job, std::size_t after,
                     std::function<void(result<results_page>)> done);
+  /// Waits until results are added behind a revision, or for `wait`.
+  void await_results(const std::string& job, std::uint64_t revision, duration wait,
+                     std::function<void()> done);
   /// Replaces a record if the store still has the revision.
   void replace_record(const known_record& old, jobs::job_record next,
                       std::function<void(result<known_record>)> done);
--- a/libs/instance/member_task.cpp
+++ b/libs/instance/member_task.cpp
@@ -1,7 +1,10 @@
 #include "instance/member_task.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "base/hash.h"
+
 namespace boragedoor::instance {
 
 namespace {
@@ -20,8 +23,10 @@
 
 } // namespace
 
-member_task::member_task(instance_context& context, std::string address, duration lease_ttl)
-    : context_(context), address_(std::move(address)), lease_ttl_(lease_ttl),
+member_task::member_task(instance_context& context, std::string address, std::string relay,
+                         duration lease_ttl)
+    : context_(context), address_(std::move(address)), relay_(std::move(relay)),
+      lease_ttl_(lease_ttl),
       watch_(context.loop, context.store, std::string(members_prefix),
              {.wait = watch_wait, .pause = watch_pause},
              {.on_put =
@@ -76,6 +81,24 @@
   return entered_ && now < valid_until_;
 }
 
+std::vector<net::address> member_task::relays() const {
+  std::vector<net::address> list;
+  for (const duties::member& it : members_.all()) {
+    const net::address at = net::parse_address(it.relay);
+    if (at.port != 0 && it.instance != context_.identity.name) {
+      list.push_back(at);
+    }
+  }
+  // Each instance begins with another relay.
+  if (!list.empty()) {
+    std::rotate(list.begin(),
+                list.begin() +
+                    static_cast<std::ptrdiff_t>(hash64(context_.identity.name) % list.size()),
+                list.end());
+  }
+  return list;
+}
+
 std::optional<duty_permit> member_task::permit(time_point now) const {
   if (token_ == 0 || !is_member(now)) {
     return std::nullopt;
@@ -141,6 +164,7 @@
                             .data_centre = context_.identity.data_centre,
                             .region = context_.identity.region,
                             .address = address_,
+                            .relay = relay_,
                             .draining = draining_};
   call_open_ = true;
   const std::uint64_t lease = lease_;
--- a/libs/instance/member_task.h
+++ b/libs/instance/member_task.h
@@ -24,8 +24,9 @@
 /// duties that only one instance may do.
 class member_task {
 public:
-  /// `address` is where callers reach this process.
-  member_task(instance_context& context, std::string address, duration lease_ttl);
+  /// `address` is where callers reach this process, `relay` where it relays calls to the store.
+  member_task(instance_context& context, std::string address, std::string relay,
+              duration lease_ttl);
 
   void start();
   /// Tells callers and other members to turn elsewhere; the entry stays until `leave`.
@@ -35,6 +36,8 @@
 
   /// Whether this process is on the list, as far as it knows.
   [[nodiscard]] bool is_member(time_point now) const;
+  /// Relays of the other members.
+  [[nodiscard]] std::vector<net::address> relays() const;
   [[nodiscard]] const duties::member_table& members() const { return members_; }
   [[nodiscard]] time_point watching_since() const { return watching_since_; }
   /// The permit if this process holds the duties now.
@@ -56,6 +59,7 @@
 
   instance_context& context_;
   std::string address_;
+  std::string relay_;
   duration lease_ttl_;
   duties::member_table members_;
   prefix_watch watch_;
--- a/libs/jobs/job_run.cpp
+++ b/libs/jobs/job_run.cpp
@@ -235,19 +235,33 @@
   return std::chrono::duration<double>(took).count() / it.run_events;
 }
 
-std::vector<std::size_t> job_run::slow_runs(time_point now) const {
+double job_run::median_pace() const {
   std::vector<double> paces;
   for (const item_run& it : runs_) {
     if (const auto value = pace(it)) {
       paces.push_back(*value);
     }
   }
-  double median = 0;
-  if (!paces.empty()) {
-    const auto middle = paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
-    std::nth_element(paces.begin(), middle, paces.end());
-    median = *middle;
+  if (paces.empty()) {
+    return 0;
+  }
+  const auto middle = paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
+  std::nth_element(paces.begin(), middle, paces.end());
+  return *middle;
+}
+
+bool job_run::is_stalled(const item_run& it, double median, time_point now) const {
+  const duration silent = now - it.last_progress;
+  if (it.run_events == 0 || median == 0) {
+    return silent > options_.first_event_limit;
   }
+  const auto limit = std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(options_.stall_factor * median));
+  return silent > std::max(limit, options_.least_stall);
+}
+
+std::vector<std::size_t> job_run::slow_runs(time_point now) const {
+  const double median = median_pace();
   std::vector<std::size_t> slow;
   for (const std::size_t n : order_) {
     const item_run& it = runs_[n];
@@ -256,7 +270,7 @@
     }
     const auto value = pace(it);
     const bool behind = value && median > 0 && *value > options_.slow_factor * median;
-    if (behind || now - it.last_progress > options_.stall_limit) {
+    if (behind || is_stalled(it, median, now)) {
       slow.push_back(n);
     }
   }
@@ -308,7 +322,9 @@
     }
     bytes += size;
     it.at = phase::handed_over;
-    item_result result{.id = job_.items[n].id, .state = it.outcome};
+    item_result result;
+    result.id = job_.items[n].id;
+    result.state = it.outcome;
     if (it.outcome == item_state::done) {
       result.text = std::move(it.text);
       result.versions.assign(it.versions.begin(), it.versions.end());
--- a/libs/jobs/job_run.h
+++ b/libs/jobs/job_run.h
@@ -40,14 +40,20 @@
   /// in between. A request that crashes its endpoints must not take down one after the other.
   duration first_retry = milliseconds(50);
   duration longest_retry = seconds(20);
-  /// Finished results wait this long for others, so that one write lists several.
-  duration listing_delay = milliseconds(250);
+  /// Results of a complete group are listed at once, because the trainer waits for groups. Others
+  /// wait this long, so that one write lists several.
+  duration listing_delay = seconds(1);
   /// A run whose events take this many times the median of all runs is moved.
   double slow_factor = 2;
   /// Events that a run needs before its pace is judged.
   int pace_events = 3;
-  /// A run without an event for this long is moved. Loading weights halts a run for about a second.
-  duration stall_limit = milliseconds(2500);
+  /// A run is also moved when it has had no event for this many times the median interval, but not
+  /// before `least_stall`. An engine that loads weights halts its runs for about a second and one
+  /// that died for good, while a text continues elsewhere at the price of reading it in again.
+  double stall_factor = 6;
+  duration least_stall = milliseconds(250);
+  /// Limit while no interval is known: the first event waits for the prompt and for other runs.
+  duration first_event_limit = milliseconds(800);
 };
 
 /// The runs of one batch job. Decides which item starts next and what may be listed; the caller
@@ -84,6 +90,8 @@
   void reward_ended(std::size_t n, reward_end how, std::string score, int reward_attempts,
                     time_point now);
 
+  /// Seconds between the events of the run in progress, once there are enough of them.
+  [[nodiscard]] std::optional<double> event_interval(std::size_t n) const { return pace(runs_[n]); }
   /// Runs to stop and start elsewhere, because their endpoint is slow or silent.
   [[nodiscard]] std::vector<std::size_t> slow_runs(time_point now) const;
 
@@ -134,6 +142,9 @@
   void retry_later(item_run& it, std::string_view endpoint, time_point now);
   [[nodiscard]] bool group_finished(std::string_view group) const;
   [[nodiscard]] std::optional<double> pace(const item_run& it) const;
+  /// Median seconds between events over the runs in progress; 0 while none is known.
+  [[nodiscard]] double median_pace() const;
+  [[nodiscard]] bool is_stalled(const item_run& it, double median, time_point now) const;
 
   job job_;
   job_run_options options_;
