Move long runs to faster engines and poll loads when they end

Loads were noticed up to 0.3 s late.

Change: once no item waits, a run moves to an engine with a free place and a shorter event interval; intervals are noted with each event. Reports of loading engines are polled from 0.96 s on.

Steps still wait 0.9 to 2 s for places at their start.

--- a/libs/dispatch/service_endpoints.cpp
+++ b/libs/dispatch/service_endpoints.cpp
@@ -22,7 +22,7 @@
 /// Cost of an event interval that is twice the shortest known one.
 constexpr double slowness_penalty = 1.0;
 /// Part of a new interval in the smoothed one.
-constexpr double interval_weight = 0.3;
+constexpr double interval_weight = 0.05;
 /// Cost of an endpoint that refused a request lately, and how long that counts: loads of weights
 /// take about a second, full queues less.
 constexpr double refusal_penalty = 1.0;
@@ -195,6 +195,11 @@
   }
 }
 
+std::optional<double> service_endpoints::event_interval(std::string_view id) const {
+  const auto it = intervals_.find(id);
+  return it == intervals_.end() ? std::nullopt : std::optional(it->second);
+}
+
 void service_endpoints::note_refused(std::string_view id, time_point now) {
   refused_until_[std::string(id)] = now + refusal_time;
 }
--- a/libs/dispatch/service_endpoints.h
+++ b/libs/dispatch/service_endpoints.h
@@ -69,6 +69,8 @@
   void note_latency(std::string_view id, duration latency, time_point now);
   /// Notes the seconds between two events of a stream there.
   void note_event_interval(std::string_view id, double value);
+  /// Smoothed seconds between events there; nothing while it is not known.
+  [[nodiscard]] std::optional<double> event_interval(std::string_view id) const;
   /// The endpoint refused a request for want of a place, or because it loads weights.
   void note_refused(std::string_view id, time_point now);
   void note_load(std::string_view id, int running, int waiting, time_point now);
--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -25,6 +25,11 @@
 /// Runs that may be moved at a time, so that a wrong verdict cannot move all of them.
 constexpr std::size_t most_moved = 8;
 
+/// Events of a run before it may move to a faster engine, and how much shorter the interval between
+/// events must be there. A move costs about as much as one event.
+constexpr int events_before_move = 8;
+constexpr double faster_share = 0.87;
+
 constexpr int unprocessable = 422;
 
 } // namespace
@@ -176,10 +181,18 @@
     }
     if (!run_.take_event(it.item, event, context_.loop.now())) {
       reject(it, jobs::run_end::broken);
+      return;
     }
+    note_interval(it);
   });
 }
 
+void job_runner::note_interval(const open_call& it) {
+  if (const auto interval = run_.event_interval(it.item)) {
+    context_.endpoints.note_event_interval(it.endpoint, *interval);
+  }
+}
+
 void job_runner::on_end(const std::shared_ptr<open_call>& it, http1::call_outcome outcome,
                         const http1::response& response) {
   runs_.erase(it->item);
@@ -227,9 +240,6 @@
                             std::string_view reason) {
   const time_point now = context_.loop.now();
   context_.endpoints.note_finished(it.endpoint, seen, now);
-  if (const auto interval = run_.event_interval(it.item)) {
-    context_.endpoints.note_event_interval(it.endpoint, *interval);
-  }
   run_.ended(it.item, how, now);
   context_.record(event_number::item_ended, run_.item(it.item).id, it.endpoint,
                   {{"job", run_.contents().id},
@@ -250,14 +260,29 @@
   it->call->cancel();
   const time_point now = context_.loop.now();
   context_.endpoints.note_finished(it->endpoint, std::nullopt, now);
-  if (const auto interval = run_.event_interval(n)) {
-    context_.endpoints.note_event_interval(it->endpoint, *interval);
-  }
   run_.ended(n, how, now);
   context_.record(event_number::item_ended, run_.item(n).id, it->endpoint,
                   {{"job", run_.contents().id}, {"reason", reason}});
 }
 
+std::optional<dispatch::chosen_endpoint>
+job_runner::other_endpoint(std::size_t n, const std::string& present, time_point now) {
+  const jobs::job& job = run_.contents();
+  const dispatch::route* on = context_.routes.find(job.host, run_.item(n).path);
+  if (on == nullptr || on->services.empty()) {
+    return std::nullopt;
+  }
+  const std::vector<std::string> excluded = {present};
+  const std::string service = dispatch::draw_service(*on, context_.random);
+  return context_.endpoints.choose({.service = service,
+                                    .model = run_.item(n).model,
+                                    .minimum_version = job.minimum_version,
+                                    .excluded = excluded,
+                                    .needs_free_place = true,
+                                    .long_running = true},
+                                   now, context_.random);
+}
+
 void job_runner::move_slow_runs(time_point now) {
   std::size_t moved = 0;
   for (const std::size_t n : run_.slow_runs(now)) {
@@ -265,24 +290,35 @@
     if (found == runs_.end() || moved == most_moved) {
       continue;
     }
-    const jobs::job& job = run_.contents();
-    const dispatch::route* on = context_.routes.find(job.host, run_.item(n).path);
-    if (on == nullptr || on->services.empty()) {
-      continue;
-    }
-    const std::vector<std::string> excluded = {found->second->endpoint};
-    const std::string service = dispatch::draw_service(*on, context_.random);
-    const auto other = context_.endpoints.choose({.service = service,
-                                                  .model = run_.item(n).model,
-                                                  .minimum_version = job.minimum_version,
-                                                  .excluded = excluded,
-                                                  .needs_free_place = true},
-                                                 context_.loop.now(), context_.random);
-    if (other) {
+    if (other_endpoint(n, found->second->endpoint, now)) {
       cancel_run(n, jobs::run_end::moved, "slow");
       ++moved;
     }
   }
+  move_to_faster_engines(now);
+}
+
+void job_runner::move_to_faster_engines(time_point now) {
+  if (run_.waiting() > 0) {
+    // Free places are for items that have none.
+    return;
+  }
+  for (const std::size_t n : run_.long_runs(events_before_move)) {
+    const auto found = runs_.find(n);
+    if (found == runs_.end()) {
+      continue;
+    }
+    const std::string present = found->second->endpoint;
+    const auto own = context_.endpoints.event_interval(present);
+    const auto other = own ? other_endpoint(n, present, now) : std::nullopt;
+    const auto faster = other ? context_.endpoints.event_interval(other->id) : std::nullopt;
+    if (faster && *faster < *own * faster_share) {
+      cancel_run(n, jobs::run_end::moved, "faster_engine");
+      // The place is taken when the item starts again, which comes next; one move at a time keeps
+      // two items from being moved for the same place.
+      return;
+    }
+  }
 }
 
 bool job_runner::start_reward(std::size_t n, time_point now) {
--- a/libs/instance/job_runner.h
+++ b/libs/instance/job_runner.h
@@ -64,10 +64,15 @@
               const http1::response& response);
   void on_reward_end(const std::shared_ptr<open_call>& it, http1::call_outcome outcome,
                      const http1::response& response);
+  void note_interval(const open_call& it);
   void reject(open_call& it, jobs::run_end how);
   void finish_run(open_call& it, jobs::run_end how, std::optional<routing::evidence> seen,
                   std::string_view reason);
   void move_slow_runs(time_point now);
+  void move_to_faster_engines(time_point now);
+  /// Another endpoint with a free place that could go on with the item.
+  [[nodiscard]] std::optional<dispatch::chosen_endpoint>
+  other_endpoint(std::size_t n, const std::string& present, time_point now);
   void list_results(time_point now);
   void on_listed(const commit_answer& out);
   void cancel_run(std::size_t n, jobs::run_end how, std::string_view reason);
--- a/libs/instance/weight_task.cpp
+++ b/libs/instance/weight_task.cpp
@@ -8,12 +8,12 @@
 
 using events::event_number;
 
-constexpr duration tick_interval = milliseconds(50);
+constexpr duration tick_interval = milliseconds(25);
 constexpr duration call_timeout = seconds(1);
 constexpr duration connect_timeout = milliseconds(300);
 /// Loading takes about 0.9 s; reports are some hundred milliseconds old.
-constexpr duration first_poll = milliseconds(1000);
-constexpr duration poll_interval = milliseconds(300);
+constexpr duration first_poll = milliseconds(960);
+constexpr duration poll_interval = milliseconds(40);
 constexpr duration load_limit = milliseconds(3800);
 
 constexpr int accepted = 202;
--- a/libs/jobs/job_run.cpp
+++ b/libs/jobs/job_run.cpp
@@ -277,6 +277,19 @@
   return slow;
 }
 
+std::vector<std::size_t> job_run::long_runs(int events) const {
+  std::vector<std::size_t> list;
+  for (std::size_t n = 0; n < runs_.size(); ++n) {
+    if (runs_[n].at == phase::running && runs_[n].run_events >= events) {
+      list.push_back(n);
+    }
+  }
+  std::stable_sort(list.begin(), list.end(), [this](std::size_t a, std::size_t b) {
+    return runs_[a].last_event > runs_[b].last_event;
+  });
+  return list;
+}
+
 void job_run::give_up(wall_time now, time_point monotonic) {
   if (now < job_.give_up) {
     return;
--- a/libs/jobs/job_run.h
+++ b/libs/jobs/job_run.h
@@ -50,8 +50,8 @@
   /// A run is also moved when it has had no event for this many times the median interval, but not
   /// before `least_stall`. An engine that loads weights halts its runs for about a second and one
   /// that died for good, while a text continues elsewhere at the price of reading it in again.
-  double stall_factor = 6;
-  duration least_stall = milliseconds(250);
+  double stall_factor = 4;
+  duration least_stall = milliseconds(150);
   /// Limit while no interval is known: the first event waits for the prompt and for other runs.
   duration first_event_limit = milliseconds(800);
 };
@@ -95,6 +95,10 @@
   /// Runs to stop and start elsewhere, because their endpoint is slow or silent.
   [[nodiscard]] std::vector<std::size_t> slow_runs(time_point now) const;
 
+  /// Runs with at least `events` events since they started, those with the longest texts first: the
+  /// longer a text is, the longer it may still become.
+  [[nodiscard]] std::vector<std::size_t> long_runs(int events) const;
+
   /// Gives up what is not finished when the job's time is over.
   void give_up(wall_time now, time_point monotonic);
 
