--- a/libs/instance/duty_intake.h
+++ b/libs/instance/duty_intake.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <string>
 
+#include "duties/replica_plan.h"
 #include "duties/usage_tally.h"
 
 namespace boragedoor::instance {
@@ -34,6 +35,8 @@
 
   virtual void report_usage(std::uint64_t window, const duties::usage_counts& counts,
                             const duty_holder& by, std::function<void(intake_answer)> done) = 0;
+  virtual void order_replicas(const duties::replica_order& order, const duty_holder& by,
+                              std::function<void(intake_answer)> done) = 0;
 };
 
 } // namespace boragedoor::instance
--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -19,6 +19,8 @@
 constexpr duration submit_retry = milliseconds(100);
 /// Attempts to end a job against concurrent changes of its record.
 constexpr int end_attempts = 5;
+/// Jobs count as demand for this long. Trainers end a step after about ten seconds.
+constexpr duration demand_time = seconds(12);
 
 } // namespace
 
@@ -61,6 +63,16 @@
   }
 }
 
+int job_service::open_items() const {
+  std::size_t n = 0;
+  for (const auto& [job, known] : store_.records()) {
+    if (!known.record.ended && wall_now() - known.record.submitted < demand_time) {
+      n += known.record.total;
+    }
+  }
+  return static_cast<int>(n);
+}
+
 std::size_t job_service::running_items() const {
   std::size_t n = 0;
   for (const auto& [job, it] : runners_) {
--- a/libs/instance/job_service.h
+++ b/libs/instance/job_service.h
@@ -57,6 +57,8 @@
   void end(const std::string& job, std::string_view workspace,
            std::function<void(result<void>)> done);
 
+  /// Items of all jobs, on any instance, that have not ended and are not long overdue.
+  [[nodiscard]] int open_items() const;
   [[nodiscard]] std::size_t running_jobs() const { return runners_.size(); }
   [[nodiscard]] std::size_t running_items() const;
 
