Keep texts in the making in the store

Change: the runner of a job keeps unfinished texts of 20 events or more in one value of the store, at most every 1.2 s; who takes the job over continues from them.

The price of it is one write of up to half a megabyte a job and 1.2 s.

--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -22,6 +22,9 @@
 /// Bytes of text in one value of the store, which may have one megabyte with its encoding.
 constexpr std::size_t chunk_bytes = 512UL * 1024;
 constexpr duration listing_retry = milliseconds(250);
+/// Texts in the making are kept this often. What comes in between is made again when the instance
+/// is lost; each write costs a call of up to half a megabyte.
+constexpr duration keep_interval = milliseconds(1200);
 /// Runs that may be moved at a time, so that a wrong verdict cannot move all of them.
 constexpr std::size_t most_moved = 8;
 
@@ -34,9 +37,10 @@
 
 } // namespace
 
-job_runner::job_runner(instance_context& context, job_store& store, jobs::job contents,
-                       std::vector<jobs::item_result> listed)
-    : context_(context), store_(store), run_(std::move(contents), listed), listed_(listed.size()) {}
+job_runner::job_runner(instance_context& context, job_store& store, loaded_job loaded)
+    : context_(context), store_(store),
+      run_(std::move(loaded.contents), loaded.listed, loaded.begun), listed_(loaded.listed.size()),
+      next_keep_(context.loop.now() + keep_interval) {}
 
 job_runner::~job_runner() {
   *alive_ = false;
@@ -78,6 +82,25 @@
     }
   }
   list_results(now);
+  keep_progress(now);
+}
+
+void job_runner::keep_progress(time_point now) {
+  const known_record* owner = store_.find(run_.contents().id);
+  if (stopped_ || keeping_ || now < next_keep_ || owner == nullptr) {
+    return;
+  }
+  next_keep_ = now + keep_interval;
+  const auto texts = run_.take_progress(chunk_bytes);
+  if (texts.empty()) {
+    return;
+  }
+  keeping_ = true;
+  store_.save_progress(*owner, texts, [this, alive = alive_] {
+    if (*alive) {
+      keeping_ = false;
+    }
+  });
 }
 
 bool job_runner::start_item(std::size_t n, time_point now) {
--- a/libs/instance/job_runner.h
+++ b/libs/instance/job_runner.h
@@ -17,8 +17,7 @@
 /// It stops by itself when the job has ended or another member runs it.
 class job_runner {
 public:
-  job_runner(instance_context& context, job_store& store, jobs::job contents,
-             std::vector<jobs::item_result> listed);
+  job_runner(instance_context& context, job_store& store, loaded_job loaded);
   ~job_runner();
   job_runner(const job_runner&) = delete;
   job_runner& operator=(const job_runner&) = delete;
@@ -75,6 +74,7 @@
   other_endpoint(std::size_t n, const std::string& present, time_point now);
   void list_results(time_point now);
   void on_listed(const commit_answer& out);
+  void keep_progress(time_point now);
   void cancel_run(std::size_t n, jobs::run_end how, std::string_view reason);
 
   instance_context& context_;
@@ -84,6 +84,8 @@
   std::map<std::size_t, std::shared_ptr<open_call>> rewards_;
   std::unique_ptr<chunk> chunk_;
   std::size_t listed_;
+  time_point next_keep_{};
+  bool keeping_ = false;
   bool stopped_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -107,7 +107,7 @@
       context_.record(event_number::job_accepted, it->record.id, {},
                       {{"items", it->record.total}, {"step", it->contents.step}});
       it->done(submit_outcome::accepted);
-      run(std::move(it->contents), {});
+      run({std::move(it->contents), {}, {}});
       return;
     case create_outcome::exists:
       it->done(submit_outcome::accepted);
@@ -279,15 +279,13 @@
       });
 }
 
-void job_service::run(jobs::job contents, std::vector<jobs::item_result> listed) {
+void job_service::run(loaded_job loaded) {
   if (stopped_) {
     return;
   }
-  const std::string id = contents.id;
-  const auto [it, added] = runners_.try_emplace(id);
+  const auto [it, added] = runners_.try_emplace(loaded.contents.id);
   if (added) {
-    it->second =
-        std::make_unique<job_runner>(context_, store_, std::move(contents), std::move(listed));
+    it->second = std::make_unique<job_runner>(context_, store_, std::move(loaded));
     it->second->pump(context_.loop.now());
   }
 }
@@ -304,7 +302,7 @@
     const known_record* known = store_.find(job);
     if (known != nullptr && !known->record.ended &&
         known->record.runner == context_.identity.member_id()) {
-      run(std::move(loaded.value().contents), std::move(loaded.value().listed));
+      run(std::move(loaded).value());
     }
   });
 }
--- a/libs/instance/job_service.h
+++ b/libs/instance/job_service.h
@@ -81,7 +81,7 @@
   void answer_waiting(time_point now);
   void end_known(const known_record& known, int attempts_left,
                  std::function<void(result<void>)> done);
-  void run(jobs::job contents, std::vector<jobs::item_result> listed);
+  void run(loaded_job loaded);
   void load_and_run(const std::string& job);
   void on_record(const std::string& job);
   void pump();
--- a/libs/instance/job_store.cpp
+++ b/libs/instance/job_store.cpp
@@ -144,7 +144,7 @@
       done(contents.error());
       return;
     }
-    auto into = std::make_shared<loaded_job>(loaded_job{std::move(contents).value(), {}});
+    auto into = std::make_shared<loaded_job>(loaded_job{std::move(contents).value(), {}, {}});
     load_results(job, 0, into, done);
   });
 }
@@ -165,13 +165,42 @@
                    into->listed.push_back(std::move(it));
                  }
                  if (page.value().next == after) {
-                   done(std::move(*into));
+                   load_progress(job, into, done);
                    return;
                  }
                  load_results(job, page.value().next, into, done);
                });
 }
 
+void job_store::load_progress(const std::string& job, std::shared_ptr<loaded_job> into,
+                              std::function<void(result<loaded_job>)> done) {
+  context_.store.read(jobs::progress_key(job), [this, job, into = std::move(into),
+                                                done = std::move(done)](const read_answer& it) {
+    if (it.status == store_status::ok) {
+      auto begun = jobs::progress_from_document(it.item.value);
+      if (begun) {
+        into->begun = std::move(begun).value();
+      } else {
+        context_.record(events::event_number::store_document_damaged, job, {},
+                        {{"key", it.item.key}, {"reason", begun.error().message}});
+      }
+    }
+    // Without kept texts the items are made anew.
+    done(std::move(*into));
+  });
+}
+
+void job_store::save_progress(const known_record& owner,
+                              const std::vector<jobs::item_progress>& list,
+                              std::function<void()> done) {
+  const std::string& job = owner.record.id;
+  store_change change;
+  change.expected = {{jobs::record_key(job), owner.revision}};
+  change.puts = {{jobs::progress_key(job), jobs::to_document(list), 0}};
+  // Kept texts only save time, so an answer that is lost does not matter.
+  context_.store.commit(change, [done = std::move(done)](const commit_answer&) { done(); });
+}
+
 void job_store::read_results(const std::string& job, std::size_t after,
                              std::function<void(result<results_page>)> done) {
   context_.store.list(
--- a/libs/instance/job_store.h
+++ b/libs/instance/job_store.h
@@ -28,6 +28,7 @@
 struct loaded_job {
   jobs::job contents;
   std::vector<jobs::item_result> listed;
+  std::vector<jobs::item_progress> begun;
 };
 
 /// Results from a position on.
@@ -83,7 +84,13 @@
                       const std::vector<jobs::item_result>& list,
                       std::function<void(commit_answer)> done);
 
+  /// Keeps texts in the making, if the record still has the revision.
+  void save_progress(const known_record& owner, const std::vector<jobs::item_progress>& list,
+                     std::function<void()> done);
+
 private:
+  void load_progress(const std::string& job, std::shared_ptr<loaded_job> into,
+                     std::function<void(result<loaded_job>)> done);
   void load_results(const std::string& job, std::size_t after, std::shared_ptr<loaded_job> into,
                     std::function<void(result<loaded_job>)> done);
   void remember(known_record it);
--- a/libs/jobs/job.h
+++ b/libs/jobs/job.h
@@ -66,6 +66,14 @@
   std::string score;
 };
 
+/// A text in the making, from which another instance may continue.
+struct item_progress {
+  std::string id;
+  std::string text;
+  std::uint64_t last_event = 0;
+  std::vector<std::uint64_t> versions;
+};
+
 /// The part of a job that every instance knows: who runs it, and whether it has ended.
 struct job_record {
   std::string id;
--- a/libs/jobs/job_documents.cpp
+++ b/libs/jobs/job_documents.cpp
@@ -41,6 +41,20 @@
   return value.has_value();
 }
 
+bool read_versions(const json& from, std::vector<std::uint64_t>& to) {
+  const json* versions = array_field(from, "versions");
+  if (versions == nullptr) {
+    return false;
+  }
+  for (const json& version : *versions) {
+    if (!version.is_number_unsigned()) {
+      return false;
+    }
+    to.push_back(version.get<std::uint64_t>());
+  }
+  return true;
+}
+
 json to_json(const job_item& it) {
   json headers = json::array();
   for (const auto& [name, value] : it.headers) {
@@ -193,18 +207,42 @@
   for (const json& from : parsed.value()) {
     item_result it;
     bool done = false;
-    const json* versions = array_field(from, "versions");
     if (!read_field(from, "id", it.id) || !read_field(from, "done", done) ||
         !read_binary(from, "text", it.text) || !read_field(from, "score", it.score) ||
-        versions == nullptr) {
+        !read_versions(from, it.versions)) {
       return damaged("results");
     }
     it.state = done ? item_state::done : item_state::terminated;
-    for (const json& version : *versions) {
-      if (!version.is_number_unsigned()) {
-        return damaged("results");
-      }
-      it.versions.push_back(version.get<std::uint64_t>());
+    list.push_back(std::move(it));
+  }
+  return list;
+}
+
+std::string to_document(std::span<const item_progress> list) {
+  json out = json::array();
+  for (const item_progress& it : list) {
+    out.push_back({{"id", it.id},
+                   {"text", binary(it.text)},
+                   {"last_event", it.last_event},
+                   {"versions", it.versions}});
+  }
+  return to_cbor(out);
+}
+
+result<std::vector<item_progress>> progress_from_document(std::string_view document) {
+  const auto parsed = parse_cbor(document);
+  if (!parsed) {
+    return parsed.error();
+  }
+  if (!parsed.value().is_array()) {
+    return damaged("progress");
+  }
+  std::vector<item_progress> list;
+  for (const json& from : parsed.value()) {
+    item_progress it;
+    if (!read_field(from, "id", it.id) || !read_binary(from, "text", it.text) ||
+        !read_field(from, "last_event", it.last_event) || !read_versions(from, it.versions)) {
+      return damaged("progress");
     }
     list.push_back(std::move(it));
   }
@@ -223,6 +261,10 @@
   return fmt::format("{}contents/{}", root, job);
 }
 
+std::string progress_key(std::string_view job) {
+  return fmt::format("{}progress/{}", root, job);
+}
+
 std::string results_prefix(std::string_view job) {
   return fmt::format("{}results/{}/", root, job);
 }
--- a/libs/jobs/job_run.cpp
+++ b/libs/jobs/job_run.cpp
@@ -13,7 +13,8 @@
 
 } // namespace
 
-job_run::job_run(job contents, std::span<const item_result> listed, const job_run_options& options)
+job_run::job_run(job contents, std::span<const item_result> listed,
+                 std::span<const item_progress> begun, const job_run_options& options)
     : job_(std::move(contents)), options_(options), runs_(job_.items.size()) {
   std::map<std::string_view, std::size_t> index;
   for (std::size_t n = 0; n < job_.items.size(); ++n) {
@@ -24,6 +25,17 @@
       runs_[found->second].at = phase::handed_over;
     }
   }
+  for (const item_progress& it : begun) {
+    const auto found = index.find(it.id);
+    if (found == index.end() || runs_[found->second].at != phase::waiting) {
+      continue;
+    }
+    item_run& run = runs_[found->second];
+    run.text = it.text;
+    run.has_text = true;
+    run.last_event = it.last_event;
+    run.versions.insert(it.versions.begin(), it.versions.end());
+  }
   rank_items();
 }
 
@@ -119,6 +131,7 @@
   it.last_progress = now;
   it.barren_runs = 0;
   ++it.run_events;
+  ++events_;
   it.avoided.clear();
   return true;
 }
@@ -350,6 +363,35 @@
   return list;
 }
 
+std::vector<item_progress> job_run::take_progress(std::size_t max_bytes) {
+  std::vector<item_progress> list;
+  if (events_ - events_kept_ < options_.events_between_keeps) {
+    return list;
+  }
+  events_kept_ = events_;
+  std::vector<const item_run*> texts;
+  for (const item_run& it : runs_) {
+    const bool making = it.at == phase::waiting || it.at == phase::running;
+    if (making && it.last_event && *it.last_event >= options_.least_kept_events) {
+      texts.push_back(&it);
+    }
+  }
+  std::stable_sort(texts.begin(), texts.end(), [](const item_run* a, const item_run* b) {
+    return *a->last_event > *b->last_event;
+  });
+  std::size_t bytes = 0;
+  for (const item_run* it : texts) {
+    bytes += it->text.size();
+    if (bytes > max_bytes) {
+      break;
+    }
+    const auto n = static_cast<std::size_t>(it - runs_.data());
+    list.push_back(
+        {job_.items[n].id, it->text, *it->last_event, {it->versions.begin(), it->versions.end()}});
+  }
+  return list;
+}
+
 bool job_run::all_finished() const {
   return unfinished() == 0;
 }
--- a/libs/jobs/job_run.h
+++ b/libs/jobs/job_run.h
@@ -54,14 +54,20 @@
   duration least_stall = milliseconds(150);
   /// Limit while no interval is known: the first event waits for the prompt and for other runs.
   duration first_event_limit = milliseconds(800);
+  /// Texts with fewer events are sooner made anew than kept, and texts are kept again once their
+  /// job has this many more events.
+  std::uint64_t least_kept_events = 20;
+  std::uint64_t events_between_keeps = 60;
 };
 
 /// The runs of one batch job. Decides which item starts next and what may be listed; the caller
 /// sends requests and keeps results.
 class job_run {
 public:
-  /// `listed` are the results that the store holds, in the order of their positions.
-  job_run(job contents, std::span<const item_result> listed, const job_run_options& options = {});
+  /// `listed` are the results that the store holds, in the order of their positions; `begun` are
+  /// texts that another instance had begun.
+  job_run(job contents, std::span<const item_result> listed,
+          std::span<const item_progress> begun = {}, const job_run_options& options = {});
 
   [[nodiscard]] const job& contents() const { return job_; }
   [[nodiscard]] const job_item& item(std::size_t n) const { return job_.items[n]; }
@@ -108,6 +114,10 @@
   /// they are stored.
   std::vector<item_result> take_results(std::size_t max_bytes);
 
+  /// Texts in the making that are worth keeping, the longest first, up to about `max_bytes`. Empty
+  /// if too little has come since the last call.
+  std::vector<item_progress> take_progress(std::size_t max_bytes);
+
   [[nodiscard]] bool all_finished() const;
   [[nodiscard]] std::size_t running() const;
   [[nodiscard]] std::size_t waiting() const;
@@ -156,6 +166,9 @@
   /// Items by rank, for `next_item`.
   std::vector<std::size_t> order_;
   std::map<std::string, std::string, std::less<>> group_endpoints_;
+  /// Events of all items, and how many there were when texts were last kept.
+  std::uint64_t events_ = 0;
+  std::uint64_t events_kept_ = 0;
 };
 
 } // namespace boragedoor::jobs
