--- a/libs/duties/member_table.cpp
+++ b/libs/duties/member_table.cpp
@@ -1,6 +1,7 @@
 #include "duties/member_table.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "base/json.h"
@@ -113,24 +114,22 @@
 
 std::vector<std::string> addresses_for(const std::vector<member>& members,
                                        std::string_view data_centre, std::size_t most) {
-  std::vector<std::string> near;
-  std::vector<std::string> all;
+  // Sets, because the entry of a process that ended stays beside that of its successor until its
+  // lease ends.
+  std::set<std::string> near;
+  std::set<std::string> all;
   for (const member& it : members) {
     if (it.draining) {
       continue;
     }
-    all.push_back(it.address);
+    all.insert(it.address);
     if (it.data_centre == data_centre) {
-      near.push_back(it.address);
+      near.insert(it.address);
     }
   }
-  std::vector<std::string>& list = near.size() >= enough_members ? near : all;
-  // The entry of a process that ended stays beside that of its successor until its lease ends.
-  std::sort(list.begin(), list.end());
-  list.erase(std::unique(list.begin(), list.end()), list.end());
-  if (list.size() > most) {
-    list.resize(most);
-  }
+  const std::set<std::string>& chosen = near.size() >= enough_members ? near : all;
+  std::vector<std::string> list(chosen.begin(), chosen.end());
+  list.resize(std::min(list.size(), most));
   return list;
 }
 
--- a/libs/duties/weight_schedule.cpp
+++ b/libs/duties/weight_schedule.cpp
@@ -5,14 +5,16 @@
 
 namespace boragedoor::duties {
 
-void weight_schedule::name(std::string_view model, std::uint64_t version) {
-  std::uint64_t& newest = newest_[std::string(model)];
-  newest = std::max(newest, version);
+void weight_schedule::name(std::string_view model, std::uint64_t version, time_point now) {
+  named& it = newest_[std::string(model)];
+  if (version > it.version) {
+    it = {version, now};
+  }
 }
 
 std::uint64_t weight_schedule::newest(std::string_view model) const {
   const auto it = newest_.find(model);
-  return it == newest_.end() ? 0 : it->second;
+  return it == newest_.end() ? 0 : it->second.version;
 }
 
 bool weight_schedule::is_paused(std::string_view engine, time_point now) const {
@@ -58,7 +60,8 @@
       break;
     }
     const bool too_old = it.lag > options_.tolerated_lag;
-    if (!too_old && 2 * current[*it.model] >= all[*it.model]) {
+    const bool settled = now - newest_.find(*it.model)->second.since >= options_.catch_up_after;
+    if (!too_old && !settled && 2 * (current[*it.model] + 1) > all[*it.model]) {
       continue;
     }
     load_order order{it.engine->id, *it.model, newest(*it.model)};
--- a/libs/duties/weight_schedule.h
+++ b/libs/duties/weight_schedule.h
@@ -31,6 +31,9 @@
   /// Versions that an engine may be behind the newest one and still be of use: a step accepts the
   /// version before its own.
   std::uint64_t tolerated_lag = 1;
+  /// Once a version has been the newest for so long, all engines load it: no step is about to
+  /// begin.
+  duration catch_up_after = seconds(10);
   /// Engines that load at the same time; more slow each other down.
   std::size_t least_at_once = 2;
   double share_at_once = 0.22;
@@ -52,7 +55,7 @@
   explicit weight_schedule(const weight_schedule_options& options = {}) : options_(options) {}
 
   /// Takes a named version; older ones than the newest are ignored.
-  void name(std::string_view model, std::uint64_t version);
+  void name(std::string_view model, std::uint64_t version, time_point now);
   [[nodiscard]] std::uint64_t newest(std::string_view model) const;
 
   /// The orders to send now; they are taken for sent.
@@ -72,7 +75,11 @@
   };
 
   weight_schedule_options options_;
-  std::map<std::string, std::uint64_t, std::less<>> newest_;
+  struct named {
+    std::uint64_t version = 0;
+    time_point since{};
+  };
+  std::map<std::string, named, std::less<>> newest_;
   std::map<std::string, load, std::less<>> loading_;
   std::map<std::string, time_point, std::less<>> not_before_;
 };
--- a/libs/http1/client.cpp
+++ b/libs/http1/client.cpp
@@ -27,8 +27,10 @@
 }
 
 client::~client() {
-  idle_.clear();
-  open_.clear();
+  const auto all = open_;
+  for (const auto& [key, it] : all) {
+    it->close();
+  }
 }
 
 std::shared_ptr<client_connection> client::take_idle(const net::address& target) {
--- a/libs/http1/client_connection.cpp
+++ b/libs/http1/client_connection.cpp
@@ -142,6 +142,9 @@
 }
 
 void client_connection::read_input() {
+  if (bev_ == nullptr) {
+    return;
+  }
   evbuffer* input = bufferevent_get_input(bev_);
   if (!active_) {
     // Bytes that follow a complete response belong to no request.
@@ -213,13 +216,11 @@
     skipping_ = false;
     response_ = {};
     body_bytes_ = 0;
-    if (!keep_alive_ && bufferevent_getfd(bev_) < 0) {
-      fail(call_outcome::broken);
-    }
     return;
   }
   // Bytes beyond the response are of no request; such a connection is not used again.
-  const bool reusable = keep_alive_ && evbuffer_get_length(bufferevent_get_input(bev_)) == 0;
+  const bool reusable =
+      bev_ != nullptr && keep_alive_ && evbuffer_get_length(bufferevent_get_input(bev_)) == 0;
   end(call_outcome::complete);
   if (!active_) {
     if (reusable) {
@@ -268,6 +269,11 @@
   timer_.cancel();
   if (bev_ != nullptr) {
     bufferevent_disable(bev_, EV_READ | EV_WRITE);
+    bufferevent_setcb(bev_, nullptr, nullptr, nullptr, nullptr);
+    // The bufferevent may be what is calling; it is closed from the loop, whoever still holds this
+    // call.
+    loop_.post(
+        [keep = shared_from_this(), bev = std::exchange(bev_, nullptr)] { bufferevent_free(bev); });
   }
   pool_.on_closed(*this);
 }
--- a/libs/http1/server.cpp
+++ b/libs/http1/server.cpp
@@ -39,7 +39,10 @@
   if (listener_ != nullptr) {
     evconnlistener_free(listener_);
   }
-  connections_.clear();
+  const auto all = connections_;
+  for (const auto& [key, it] : all) {
+    it->close();
+  }
 }
 
 result<std::unique_ptr<server>> server::listen(net::event_loop& loop, const net::address& at,
--- a/libs/http1/server_connection.cpp
+++ b/libs/http1/server_connection.cpp
@@ -271,6 +271,7 @@
   phase_ = phase::closing;
   timer_.cancel();
   bufferevent_disable(bev_, EV_READ | EV_WRITE);
+  bufferevent_setcb(bev_, nullptr, nullptr, nullptr, nullptr);
   shared_.on_closed(*this);
 }
 
--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -123,7 +123,11 @@
     } else if (now + submit_retry >= it->deadline) {
       it->done(submit_outcome::unknown);
     } else {
-      context_.loop.post_after(submit_retry, [this, it] { try_submit(it); });
+      context_.loop.post_after(submit_retry, [this, alive = alive_, it] {
+        if (*alive) {
+          try_submit(it);
+        }
+      });
     }
   });
 }
--- a/libs/instance/job_service.h
+++ b/libs/instance/job_service.h
@@ -36,6 +36,11 @@
 class job_service {
 public:
   job_service(instance_context& context, member_task& members);
+  ~job_service() { *alive_ = false; }
+  job_service(const job_service&) = delete;
+  job_service& operator=(const job_service&) = delete;
+  job_service(job_service&&) = delete;
+  job_service& operator=(job_service&&) = delete;
 
   void start();
   /// Takes no more jobs over; those that run go on.
@@ -100,6 +105,8 @@
   net::timer takeover_timer_;
   bool draining_ = false;
   bool stopped_ = false;
+  /// Delayed calls that come after the destruction do nothing.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace boragedoor::instance
--- a/libs/instance/weight_task.cpp
+++ b/libs/instance/weight_task.cpp
@@ -87,8 +87,7 @@
     return;
   }
   if (ordered || report.order_in_progress) {
-    context_.loop.post_after(poll_interval,
-                             [this, order, give_up] { ask_report(order, true, give_up); });
+    poll(order, poll_interval, give_up);
     return;
   }
   send_order(order, report.order_sequence, give_up);
@@ -130,8 +129,7 @@
       members_.reject_token(token);
     }
     if (status == accepted || status == already_holds) {
-      context_.loop.post_after(first_poll,
-                               [this, order, give_up] { ask_report(order, true, give_up); });
+      poll(order, first_poll, give_up);
     } else {
       fail(order, "refused");
     }
@@ -144,6 +142,14 @@
   context_.calls.send(std::move(spec), std::move(callbacks));
 }
 
+void weight_task::poll(const duties::load_order& order, duration delay, time_point give_up) {
+  context_.loop.post_after(delay, [this, alive = alive_, order, give_up] {
+    if (*alive) {
+      ask_report(order, true, give_up);
+    }
+  });
+}
+
 void weight_task::fail(const duties::load_order& order, std::string_view reason) {
   context_.record(event_number::weights_swap_failed, {}, order.engine,
                   {{"model", order.model}, {"version", order.version}, {"reason", reason}});
--- a/libs/instance/weight_task.h
+++ b/libs/instance/weight_task.h
@@ -15,9 +15,14 @@
 class weight_task {
 public:
   weight_task(instance_context& context, member_task& members);
+  ~weight_task() { *alive_ = false; }
+  weight_task(const weight_task&) = delete;
+  weight_task& operator=(const weight_task&) = delete;
+  weight_task(weight_task&&) = delete;
+  weight_task& operator=(weight_task&&) = delete;
 
   void start();
-  void name(const named_version& it) { schedule_.name(it.model, it.version); }
+  void name(const named_version& it) { schedule_.name(it.model, it.version, context_.loop.now()); }
 
 private:
   void tick();
@@ -26,12 +31,16 @@
   void take_report(const duties::load_order& order, const engine_report& report, bool ordered,
                    time_point give_up);
   void send_order(const duties::load_order& order, std::uint64_t sequence, time_point give_up);
+  /// Asks for a report after a delay.
+  void poll(const duties::load_order& order, duration delay, time_point give_up);
   void fail(const duties::load_order& order, std::string_view reason);
 
   instance_context& context_;
   member_task& members_;
   duties::weight_schedule schedule_;
   net::timer timer_;
+  /// Delayed calls that come after the destruction do nothing.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace boragedoor::instance
--- /dev/null
+++ b/tests/duties/member_table_test.cpp
@@ -0,0 +1,97 @@
+#include "duties/member_table.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+namespace boragedoor::duties {
+
+namespace {
+
+constexpr time_point start{seconds(100)};
+
+member make_member(std::string instance, std::uint64_t created, std::string data_centre = "dc-1") {
+  member it;
+  it.id = fmt::format("{}/boot", instance);
+  it.address = fmt::format("{}:80", instance);
+  it.relay = fmt::format("{}:81", instance);
+  it.instance = std::move(instance);
+  it.data_centre = std::move(data_centre);
+  it.region = it.address;
+  it.created = created;
+  return it;
+}
+
+} // namespace
+
+TEST_CASE("a member comes back from its document, without the revision that the store knows") {
+  member before = make_member("a", 7);
+  before.draining = true;
+  auto after = member_from_document(to_document(before));
+  REQUIRE(after);
+  CHECK(after.value().created == 0);
+  after.value().created = 7;
+  CHECK(after.value() == before);
+  CHECK_FALSE(member_from_document("x"));
+  CHECK(instance_of("front-1/ab12") == "front-1");
+}
+
+TEST_CASE("the table of members") {
+  member_table table;
+  CHECK(table.oldest() == nullptr);
+  CHECK(table.heir("job") == nullptr);
+  table.put("k/a", make_member("a", 20));
+  table.put("k/b", make_member("b", 10));
+  table.put("k/c", make_member("c", 30));
+
+  SECTION("the oldest holds the duties until it drains or is gone") {
+    CHECK(table.oldest()->instance == "b");
+    member draining = make_member("b", 10);
+    draining.draining = true;
+    table.put("k/b", draining);
+    CHECK(table.oldest()->instance == "a");
+    CHECK(table.is_live("b/boot"));
+    table.remove("k/a", start);
+    CHECK(table.oldest()->instance == "c");
+  }
+
+  SECTION("every instance names the same heir, whatever it learned first") {
+    member_table other;
+    other.put("k/c", make_member("c", 30));
+    other.put("k/a", make_member("a", 20));
+    other.put("k/b", make_member("b", 10));
+    for (const char* job : {"j1", "j2", "j3", "j4"}) {
+      CHECK(table.heir(job)->id == other.heir(job)->id);
+    }
+  }
+
+  SECTION("work is taken over only from members that stay away") {
+    // Leases lapse while the store is down; their holders are back soon after its return.
+    CHECK_FALSE(table.is_gone("a/boot", start, start + seconds(60)));
+    table.remove("k/a", start);
+    CHECK_FALSE(table.is_gone("a/boot", start, start + seconds(1)));
+    CHECK(table.is_gone("a/boot", start, start + seconds(2)));
+    table.put("k/a", make_member("a", 40));
+    CHECK_FALSE(table.is_gone("a/boot", start, start + seconds(60)));
+  }
+
+  SECTION("a member that was never seen is gone once the table has been watched for a while") {
+    CHECK_FALSE(table.is_gone("z/old", start, start + seconds(1)));
+    CHECK(table.is_gone("z/old", start, start + seconds(2)));
+  }
+}
+
+TEST_CASE("callers get addresses of their data centre if there are enough") {
+  std::vector<member> members = {make_member("a", 1, "dc-1"), make_member("b", 2, "dc-1"),
+                                 make_member("c", 3, "dc-2"), make_member("d", 4, "dc-3")};
+  using addresses = std::vector<std::string>;
+  CHECK(addresses_for(members, "dc-1", 64) == addresses{"a:80", "b:80"});
+  CHECK(addresses_for(members, "dc-2", 64) == addresses{"a:80", "b:80", "c:80", "d:80"});
+  CHECK(addresses_for(members, "else", 2).size() == 2);
+  members[1].draining = true;
+  CHECK(addresses_for(members, "dc-1", 64) == addresses{"a:80", "c:80", "d:80"});
+  // A restarted process has two entries for a while.
+  members.push_back(make_member("a", 9, "dc-1"));
+  CHECK(addresses_for(members, "dc-1", 64) == addresses{"a:80", "c:80", "d:80"});
+}
+
+} // namespace boragedoor::duties
--- /dev/null
+++ b/tests/http1/client_test.cpp
@@ -0,0 +1,137 @@
+#include "http1/client.h"
+
+#include <optional>
+
+#include <catch2/catch.hpp>
+
+#include "raw_peer.h"
+
+namespace boragedoor::http1 {
+
+namespace {
+
+constexpr duration patience = seconds(5);
+
+struct seen_end {
+  std::optional<call_outcome> outcome;
+  response it;
+};
+
+bool has_request(const raw_connection& it) {
+  return it.received.find("\r\n\r\n") != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("a client and servers that send any bytes") {
+  auto loop = net::event_loop::create().value();
+  std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  enum class then { keep, close, reset } after = then::keep;
+  raw_server server(*loop, [&](raw_connection& it) {
+    if (!has_request(it)) {
+      return;
+    }
+    it.received.clear();
+    it.send(answer);
+    if (after == then::close) {
+      it.close();
+    } else if (after == then::reset) {
+      it.reset();
+    }
+  });
+  client calls(*loop);
+  call_spec spec;
+  spec.target = server.address();
+  seen_end end;
+  call_callbacks callbacks;
+  callbacks.on_end = [&](call_outcome outcome, response it) { end = {outcome, std::move(it)}; };
+  const auto call = [&] {
+    end = {};
+    calls.send(spec, callbacks);
+    REQUIRE(loop->run_until([&] { return end.outcome.has_value(); }, patience));
+    return *end.outcome;
+  };
+
+  SECTION("a response arrives and its connection carries the next call") {
+    CHECK(call() == call_outcome::complete);
+    CHECK(end.it.body == "ok");
+    CHECK(call() == call_outcome::complete);
+    CHECK(calls.connections_made() == 1);
+  }
+
+  SECTION("a response without a length is complete only if the connection ends in order") {
+    answer = "HTTP/1.1 200 OK\r\n\r\npart";
+    after = then::close;
+    CHECK(call() == call_outcome::complete);
+    CHECK(end.it.body == "part");
+    after = then::reset;
+    CHECK(call() == call_outcome::broken);
+  }
+
+  SECTION("a response that ends before its length is broken") {
+    answer = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart";
+    after = then::close;
+    CHECK(call() == call_outcome::broken);
+  }
+
+  SECTION("bytes behind a response belong to no request and end the connection") {
+    answer += "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad";
+    CHECK(call() == call_outcome::complete);
+    CHECK(end.it.body == "ok");
+    CHECK(call() == call_outcome::complete);
+    CHECK(end.it.body == "ok");
+    CHECK(calls.connections_made() == 2);
+  }
+
+  SECTION("a response that answers an earlier request is skipped") {
+    answer = "HTTP/1.1 200 OK\r\nAttempt-Id: old\r\nContent-Length: 3\r\n\r\nold"
+             "HTTP/1.1 200 OK\r\nAttempt-Id: new\r\nContent-Length: 3\r\n\r\nnew";
+    callbacks.on_head = [](const response& head) {
+      return net::find_header(head.headers, "Attempt-Id") == "new";
+    };
+    CHECK(call() == call_outcome::complete);
+    CHECK(end.it.body == "new");
+  }
+
+  SECTION("bytes that are no response are malformed") {
+    answer = "this is not HTTP\r\n\r\n";
+    CHECK(call() == call_outcome::malformed);
+  }
+
+  SECTION("a silent server is given up, and an address where nobody listens is never reached") {
+    answer.clear();
+    spec.progress_timeout = milliseconds(30);
+    CHECK(call() == call_outcome::timed_out);
+    spec.target.port = 1;
+    CHECK(call() == call_outcome::not_connected);
+  }
+
+  SECTION("a body is reported piece by piece") {
+    answer =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    std::string pieces;
+    callbacks.on_data = [&](std::string_view data) { pieces += data; };
+    CHECK(call() == call_outcome::complete);
+    CHECK(pieces == "abcde");
+    CHECK(end.it.body.empty());
+  }
+
+  SECTION("a response may come before the body of the request was taken") {
+    spec.message.method = "POST";
+    spec.message.body = std::string(4UL * 1024 * 1024, 'x');
+    answer = "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n";
+    CHECK(call() == call_outcome::complete);
+    CHECK(end.it.status == 413);
+  }
+
+  SECTION("a cancelled call makes no callback and closes its connection") {
+    answer.clear();
+    const auto open = calls.send(spec, callbacks);
+    REQUIRE(loop->run_until([&] { return !server.connections.empty(); }, patience));
+    open->cancel();
+    REQUIRE(loop->run_until([&] { return server.connections.front()->closed_by_peer; }, patience));
+    CHECK_FALSE(end.outcome);
+  }
+}
+
+} // namespace boragedoor::http1
--- /dev/null
+++ b/tests/http1/server_test.cpp
@@ -0,0 +1,142 @@
+#include "http1/server.h"
+
+#include <optional>
+
+#include <catch2/catch.hpp>
+
+#include "raw_peer.h"
+
+namespace boragedoor::http1 {
+
+namespace {
+
+const net::address any_port{"127.0.0.1", 0};
+constexpr duration patience = seconds(5);
+
+response refusal(int status, std::string_view message) {
+  return {status, {}, std::string(message)};
+}
+
+} // namespace
+
+TEST_CASE("a server and callers that send any bytes") {
+  auto loop = net::event_loop::create().value();
+  std::shared_ptr<exchange> held;
+  std::vector<request> requests;
+  bool hold = false;
+  auto created = server::listen(
+      *loop, any_port,
+      [&](std::shared_ptr<exchange> it) {
+        requests.push_back(it->received());
+        if (hold) {
+          held = std::move(it);
+        } else {
+          it->respond({200, {}, "body of " + it->received().target});
+        }
+      },
+      &refusal);
+  REQUIRE(created);
+  const auto server = std::move(created).value();
+  const auto caller = connect_raw(*loop, server->local_address());
+  const auto expect = [&](std::string_view text) {
+    return loop->run_until([&] { return caller->received.find(text) != std::string::npos; },
+                           patience);
+  };
+
+  SECTION("a kept connection answers requests in their order, also those that are sent ahead") {
+    caller->send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(expect("body of /2"));
+    CHECK(caller->received.find("body of /1") < caller->received.find("body of /2"));
+    CHECK_FALSE(caller->closed_by_peer);
+  }
+
+  SECTION("a response is complete before its connection closes") {
+    // The first write callback comes when the output is still empty; it once closed the connection.
+    caller->send("GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    REQUIRE(loop->run_until([&] { return caller->closed_by_peer; }, patience));
+    CHECK(caller->received.find("Connection: close") != std::string::npos);
+    CHECK(caller->received.find("body of /1") != std::string::npos);
+  }
+
+  SECTION("bodies arrive with a length and in chunks") {
+    caller->send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhel");
+    caller->send("loPOST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    REQUIRE(expect("body of /2"));
+    CHECK(requests.at(0).body == "hello");
+    CHECK(requests.at(1).body == "abcde");
+  }
+
+  SECTION("requests that could be read in two ways are refused and end their connection") {
+    const auto bad = GENERATE(
+        std::string("GET / HTTP/1.1\r\nHost: h\r\nName: a\0b\r\n\r\n", 39),
+        std::string("GET / HTTP/1.1\r\nHost : h\r\n\r\n"),
+        std::string("GET / HTTP/1.1\r\nHost: h\r\nName: a\r\n b\r\n\r\n"),
+        std::string("GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n"),
+        std::string("GET / HTTP/1.1\r\nHost: h\r\nAuthorization: a\r\nauthorization: b\r\n\r\n"),
+        std::string("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n"),
+        std::string("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n"),
+        std::string("not a request\r\n\r\n"));
+    caller->send(bad);
+    REQUIRE(loop->run_until([&] { return caller->closed_by_peer; }, patience));
+    CHECK(caller->received.starts_with("HTTP/1.1 400 "));
+    CHECK(requests.empty());
+  }
+
+  SECTION("input over the limits is refused before it is read") {
+    server->set_limits({.header_bytes = 64, .body_bytes = 10});
+    SECTION("header fields") {
+      caller->send("GET / HTTP/1.1\r\nHost: h\r\nName: " + std::string(100, 'x'));
+      REQUIRE(expect("HTTP/1.1 431 "));
+    }
+    SECTION("a body with a length") {
+      caller->send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n");
+      REQUIRE(expect("HTTP/1.1 413 "));
+    }
+    SECTION("a body in chunks") {
+      caller->send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nb\r\nhello world\r\n");
+      REQUIRE(expect("HTTP/1.1 413 "));
+    }
+    CHECK(requests.empty());
+  }
+
+  SECTION("a caller that is slow with its header fields is refused") {
+    server->set_limits({.header_timeout = milliseconds(30)});
+    caller->send("GET / HT");
+    REQUIRE(expect("HTTP/1.1 408 "));
+  }
+
+  SECTION("a caller that leaves before the response is noticed") {
+    hold = true;
+    bool left = false;
+    auto leaving = connect_raw(*loop, server->local_address());
+    leaving->send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(loop->run_until([&] { return held != nullptr; }, patience));
+    held->on_left([&] { left = true; });
+    leaving->reset();
+    REQUIRE(loop->run_until([&] { return left; }, patience));
+    CHECK_FALSE(held->is_open());
+    held->respond({200, {}, "nobody hears it"});
+  }
+
+  SECTION("a stream that is broken off does not look complete") {
+    hold = true;
+    caller->send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(loop->run_until([&] { return held != nullptr; }, patience));
+    held->start({200, {}, "piece"});
+    REQUIRE(expect("piece"));
+    held->abort();
+    REQUIRE(loop->run_until([&] { return caller->closed_by_peer; }, patience));
+    CHECK(caller->received.find("0\r\n\r\n") == std::string::npos);
+  }
+
+  SECTION("a draining server answers and ends each connection with its response") {
+    server->drain();
+    caller->send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(loop->run_until([&] { return caller->closed_by_peer; }, patience));
+    CHECK(caller->received.find("body of /1") != std::string::npos);
+  }
+}
+
+} // namespace boragedoor::http1
--- /dev/null
+++ b/tests/jobs/event_reader_test.cpp
@@ -0,0 +1,51 @@
+#include "jobs/event_reader.h"
+
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+namespace boragedoor::jobs {
+
+TEST_CASE("a stream is split into its events") {
+  event_reader reader;
+  std::vector<stream_event> seen;
+  const auto feed = [&](std::string_view data) {
+    reader.feed(data, [&](const stream_event& it) { seen.push_back(it); });
+  };
+
+  SECTION("wherever its bytes are cut") {
+    const std::string_view stream =
+        "weight-versions: 7\nid: 1\ndata: a b\n\nid: 2\ndata: c\ndata: d\n\n";
+    const auto cut = GENERATE(range(1, 60));
+    feed(stream.substr(0, static_cast<std::size_t>(cut)));
+    feed(stream.substr(static_cast<std::size_t>(cut)));
+    REQUIRE(seen.size() == 2);
+    CHECK(seen[0].id == 1);
+    CHECK(seen[0].data == "a b");
+    CHECK(seen[0].field_name == "weight-versions");
+    CHECK(seen[0].field_value == "7");
+    CHECK(seen[1].id == 2);
+    CHECK(seen[1].data == "c\nd");
+    CHECK_FALSE(reader.has_partial());
+  }
+
+  SECTION("with carriage returns") {
+    feed("id: 1\r\ndata: a\r\n\r\n");
+    REQUIRE(seen.size() == 1);
+    CHECK(seen[0].data == "a");
+  }
+
+  SECTION("and an event that is cut off is never reported") {
+    feed("id: 1\ndata: a\n\nid: 2\ndata: hal");
+    CHECK(seen.size() == 1);
+    CHECK(reader.has_partial());
+  }
+
+  SECTION("and an id that is no number is none") {
+    feed("id: x\ndata: a\n\n");
+    REQUIRE(seen.size() == 1);
+    CHECK_FALSE(seen[0].id);
+  }
+}
+
+} // namespace boragedoor::jobs
--- /dev/null
+++ b/tests/jobs/job_documents_test.cpp
@@ -0,0 +1,98 @@
+#include "jobs/job_documents.h"
+
+#include <catch2/catch.hpp>
+
+namespace boragedoor::jobs {
+
+namespace {
+
+job make_job() {
+  job it;
+  it.id = "j1";
+  it.workspace = "north";
+  it.route = "r";
+  it.host = "h.example";
+  it.step = 7;
+  it.minimum_version = 6;
+  it.single_version = true;
+  it.desired_groups = 1;
+  it.max_attempts = 3;
+  it.submitted = wall_time(seconds(1000));
+  it.due = wall_time(seconds(1007));
+  it.give_up = wall_time(seconds(1040));
+  it.items.push_back({.id = "i1",
+                      .path = "/p",
+                      .headers = {{"Model", "m"}},
+                      .body = std::string("\0\xff", 2),
+                      .model = "m",
+                      .group = "g",
+                      .expected_tokens = 40,
+                      .reward = reward_call{"w1", "s.example", "/s", "body"}});
+  it.items.push_back({.id = "i2",
+                      .path = "/p",
+                      .headers = {},
+                      .body = {},
+                      .model = "m",
+                      .group = "g",
+                      .expected_tokens = 0,
+                      .reward = std::nullopt});
+  return it;
+}
+
+} // namespace
+
+TEST_CASE("a job comes back from its document as it was") {
+  const job before = make_job();
+  const auto after = job_from_document(to_document(before));
+  REQUIRE(after);
+  const job& it = after.value();
+  CHECK(it.id == before.id);
+  CHECK(it.minimum_version == 6);
+  CHECK(it.single_version);
+  CHECK(it.give_up == before.give_up);
+  REQUIRE(it.items.size() == 2);
+  CHECK(it.items[0].body == before.items[0].body);
+  CHECK(it.items[0].headers == before.items[0].headers);
+  REQUIRE(it.items[0].reward);
+  CHECK(it.items[0].reward->path == "/s");
+  CHECK_FALSE(it.items[1].reward);
+}
+
+TEST_CASE("results and texts in the making come back from their documents") {
+  const std::vector<item_result> results = {{"i1", item_state::done, "a\nb", {6, 7}, "sig"},
+                                            {"i2", item_state::terminated, "", {}, ""}};
+  const auto list = results_from_document(to_document(results));
+  REQUIRE(list);
+  REQUIRE(list.value().size() == 2);
+  CHECK(list.value()[0].text == "a\nb");
+  CHECK(list.value()[0].versions == std::vector<std::uint64_t>{6, 7});
+  CHECK(list.value()[1].state == item_state::terminated);
+
+  const std::vector<item_progress> begun = {{"i1", "a", 4, {6}}};
+  const auto again = progress_from_document(to_document(begun));
+  REQUIRE(again);
+  CHECK(again.value().at(0).last_event == 4);
+  CHECK(again.value().at(0).versions == std::vector<std::uint64_t>{6});
+}
+
+TEST_CASE("damaged documents are reported, not read in part") {
+  const std::string whole = to_document(make_job());
+  for (std::size_t n = 0; n < whole.size(); n += 7) {
+    CHECK_FALSE(job_from_document(whole.substr(0, n)));
+  }
+  CHECK_FALSE(record_from_document("\xa0"));
+  CHECK_FALSE(results_from_document("\xa0"));
+  CHECK_FALSE(progress_from_document("nothing"));
+}
+
+TEST_CASE("keys of results sort by position, and a read begins behind the key of its position") {
+  CHECK(results_key("j", 9) < results_key("j", 10));
+  CHECK(results_key("j", 99'999) < results_key("j", 100'000));
+  CHECK(results_key("j", 10).starts_with(results_prefix("j")));
+  CHECK(end_of_results_key(results_key("j", 42)).value() == 42);
+  CHECK_FALSE(end_of_results_key("boragedoor/results/j/x"));
+  // The prefix of one job is not that of another whose id begins alike.
+  CHECK_FALSE(results_key("j1", 1).starts_with(results_prefix("j")));
+}
+
+} // namespace boragedoor::jobs
--- /dev/null
+++ b/tests/platform/job_codec_test.cpp
@@ -0,0 +1,108 @@
+#include "platform/job_codec.h"
+
+#include <catch2/catch.hpp>
+
+#include "base/json.h"
+
+namespace boragedoor::platform {
+
+namespace {
+
+constexpr wall_time morning{seconds(1000)};
+
+dispatch::route make_route() {
+  dispatch::route it;
+  it.name = "r";
+  it.host = "a.example";
+  it.max_attempts = 3;
+  it.due = milliseconds(7500);
+  it.max_queue = seconds(40);
+  return it;
+}
+
+json make_submission() {
+  return {
+      {"step", 7},
+      {"model", "m"},
+      {"min_version", 6},
+      {"desired", 12},
+      {"items",
+       {{{"id", "i1"},
+         {"path", "/p/1"},
+         {"headers", {{"Model", "m"}, {"Token-Usage", "540,400"}}},
+         {"body", "AAE="},
+         {"tokens", 940},
+         {"group", "g1"},
+         {"scorer_url", {{"id", "w1"}, {"host", "b.example"}, {"path", "/s/1"}, {"body", ""}}}}}}};
+}
+
+} // namespace
+
+TEST_CASE("a submitted job is read with its times") {
+  json submission = make_submission();
+  const auto read = read_job(to_text(submission), "j", "north", make_route(), morning);
+  REQUIRE(read);
+  const jobs::job& it = read.value();
+  CHECK(it.workspace == "north");
+  CHECK(it.minimum_version == 6);
+  CHECK(it.desired_groups == 12);
+  CHECK(it.due == morning + milliseconds(7500));
+  CHECK(it.give_up == morning + seconds(40));
+  REQUIRE(it.items.size() == 1);
+  CHECK(it.items[0].model == "m");
+  CHECK(it.items[0].body == std::string("\0\x01", 2));
+  CHECK(it.items[0].expected_tokens == 400);
+  CHECK(it.items[0].reward->host == "b.example");
+
+  SECTION("an estimate of the caller goes before its upper bound") {
+    submission["items"][0]["headers"]["Length-Hint"] = "70";
+    CHECK(read_job(to_text(submission), "j", "n", make_route(), morning)
+              .value()
+              .items[0]
+              .expected_tokens == 70);
+  }
+}
+
+TEST_CASE("a job that cannot be run as it stands is refused") {
+  json submission = make_submission();
+  SECTION("without items") {
+    submission["items"] = json::array();
+  }
+  SECTION("with an item without a path") {
+    submission["items"][0].erase("path");
+  }
+  SECTION("with a body that is no base64") {
+    submission["items"][0]["body"] = "!";
+  }
+  SECTION("with a header that would start another one") {
+    submission["items"][0]["headers"]["X"] = "a\r\nTenant: other";
+  }
+  SECTION("with a reward call without a host") {
+    submission["items"][0]["scorer_url"].erase("host");
+  }
+  CHECK_FALSE(read_job(to_text(submission), "j", "north", make_route(), morning));
+}
+
+TEST_CASE("results are written as the trainer reads them") {
+  instance::job_listing listing{40, 13, {}};
+  listing.results.push_back({"i1", jobs::item_state::done, "a\nb", {6, 7}, "sig"});
+  listing.results.push_back({"i2", jobs::item_state::terminated, "", {}, ""});
+  const json out = parse_json(write_listing(listing)).value();
+  CHECK(out["total"] == 40);
+  CHECK(out["next"] == 13);
+  CHECK(out["results"][0]["output"] == "a\nb");
+  CHECK(out["results"][0]["versions"] == json({6, 7}));
+  CHECK(out["results"][0]["score"] == "sig");
+  CHECK(out["results"][1]["state"] == "terminated");
+
+  SECTION("no more than fits one answer, and the next position says so") {
+    listing.results[0].text = std::string(900UL * 1024, 'x');
+    listing.results.push_back({"i3", jobs::item_state::done, "late", {6}, ""});
+    listing.next = 14;
+    const json part = parse_json(write_listing(listing)).value();
+    CHECK(part["results"].size() == 2);
+    CHECK(part["next"] == 13);
+  }
+}
+
+} // namespace boragedoor::platform
--- /dev/null
+++ b/tests/platform/store_client_test.cpp
@@ -0,0 +1,151 @@
+#include "platform/store_client.h"
+
+#include <optional>
+
+#include <catch2/catch.hpp>
+
+#include "instance/relay_listener.h"
+#include "store_stand_in.h"
+
+namespace boragedoor::platform {
+
+namespace {
+
+using instance::store_status;
+
+constexpr duration patience = seconds(10);
+
+} // namespace
+
+TEST_CASE("calls to the store") {
+  auto loop = net::event_loop::create().value();
+  store_stand_in store(*loop);
+  int failures = 0;
+  store_client client(*loop, store.address(), [&](auto, auto) { ++failures; });
+  const auto commit = [&](const instance::store_change& change) {
+    std::optional<instance::commit_answer> out;
+    client.commit(change, [&](instance::commit_answer it) { out = std::move(it); });
+    REQUIRE(loop->run_until([&] { return out.has_value(); }, patience));
+    return *out;
+  };
+  const auto read = [&](const std::string& key) {
+    std::optional<instance::read_answer> out;
+    client.read(key, [&](instance::read_answer it) { out = std::move(it); });
+    REQUIRE(loop->run_until([&] { return out.has_value(); }, patience));
+    return *out;
+  };
+
+  SECTION("a change takes effect as a whole, with any bytes as values") {
+    const std::string bytes("\0\xff\"\\", 4);
+    const auto out =
+        commit({.expected = {{"a", 0}}, .puts = {{"a", bytes, 0}, {"b", "2", 0}}, .removed = {}});
+    CHECK(out.status == store_status::ok);
+    CHECK(read("a").item.value == bytes);
+    CHECK(read("a").item.revision == out.revision);
+    const auto again = commit({.expected = {{"a", 0}}, .puts = {{"c", "3", 0}}, .removed = {"b"}});
+    CHECK(again.status == store_status::conflict);
+    REQUIRE(again.found.size() == 1);
+    CHECK(again.found[0].value == bytes);
+    CHECK(read("c").status == store_status::missing);
+    CHECK(read("b").status == store_status::ok);
+  }
+
+  SECTION("a prefix is listed page by page and watched from there") {
+    for (int n = 0; n < 5; ++n) {
+      store.put("p/" + std::to_string(n), n);
+    }
+    std::vector<std::string> keys;
+    std::string after;
+    std::uint64_t as_of = 0;
+    for (bool more = true; more;) {
+      std::optional<instance::list_answer> page;
+      client.list("p/", after, [&](instance::list_answer it) { page = std::move(it); });
+      REQUIRE(loop->run_until([&] { return page.has_value(); }, patience));
+      for (const auto& it : page->items) {
+        keys.push_back(it.key);
+      }
+      after = keys.back();
+      as_of = page->as_of;
+      more = page->more;
+    }
+    CHECK(keys.size() == 5);
+
+    std::optional<instance::watch_answer> seen;
+    const auto watch = [&](std::uint64_t from) {
+      seen.reset();
+      client.watch("p/", from, seconds(5),
+                   [&](instance::watch_answer it) { seen = std::move(it); });
+    };
+    watch(as_of);
+    store.erase("p/3");
+    REQUIRE(loop->run_until([&] { return seen.has_value(); }, patience));
+    REQUIRE(seen->events.size() == 1);
+    CHECK(seen->events[0].removed);
+
+    store.compact();
+    watch(as_of);
+    REQUIRE(loop->run_until([&] { return seen.has_value(); }, patience));
+    CHECK(seen->status == store_status::missing);
+  }
+
+  SECTION("a refusal says that nothing was done, silence that nobody knows") {
+    store.set_fault(store_fault::refuse);
+    CHECK(commit({.expected = {}, .puts = {{"a", "1", 0}}, .removed = {}}).status ==
+          store_status::refused);
+    store.set_fault(store_fault::lose_answers);
+    CHECK(commit({.expected = {}, .puts = {{"a", "1", 0}}, .removed = {}}).status ==
+          store_status::unknown);
+    store.set_fault(store_fault::none);
+    CHECK(read("a").status == store_status::ok);
+    CHECK(failures == 2);
+  }
+
+  SECTION("leases bind keys and can be renewed until they end") {
+    std::optional<instance::lease_answer> lease;
+    client.grant_lease(seconds(2), [&](instance::lease_answer it) { lease = it; });
+    REQUIRE(loop->run_until([&] { return lease.has_value(); }, patience));
+    CHECK(lease->ttl == seconds(2));
+    commit({.expected = {}, .puts = {{"l", "1", lease->lease}}, .removed = {}});
+    CHECK(store.has("l"));
+    client.end_lease(lease->lease);
+    REQUIRE(loop->run_until([&] { return !store.has("l"); }, patience));
+    std::optional<instance::lease_answer> kept;
+    client.keep_lease(lease->lease, [&](instance::lease_answer it) { kept = it; });
+    REQUIRE(loop->run_until([&] { return kept.has_value(); }, patience));
+    CHECK(kept->status == store_status::missing);
+  }
+
+  SECTION("an instance that the store does not serve reaches it through another one") {
+    // Pattern: the store refuses some machines, or a link to it is cut, for about ten seconds.
+    const auto relay =
+        instance::relay_listener::listen(*loop, {"127.0.0.1", 0}, store.second_address()).value();
+    client.set_relays({relay->local_address()});
+    const auto fault = GENERATE(store_fault::refuse, store_fault::silent);
+    store.set_fault(fault);
+    // After silence the outcome of that call is unknown; the next one takes the relay.
+    const auto first = read("a").status;
+    CHECK(first == (fault == store_fault::refuse ? store_status::missing : store_status::unknown));
+    CHECK(commit({.expected = {}, .puts = {{"a", "1", 0}}, .removed = {}}).status ==
+          store_status::ok);
+
+    SECTION("until the store serves it again") {
+      store.set_fault(store_fault::none);
+      const int before = store.calls("/kv-key");
+      REQUIRE(loop->run_until(
+          [&] {
+            client.tick();
+            return store.calls("/kv-key") > before;
+          },
+          patience));
+      loop->run_until([] { return false; }, milliseconds(50));
+      store.set_fault(store_fault::refuse, 1);
+      CHECK(read("a").status == store_status::ok);
+    }
+    SECTION("and is told if the other one does not reach it either") {
+      store.set_fault(store_fault::refuse, 1);
+      CHECK(read("a").status != store_status::ok);
+    }
+  }
+}
+
+} // namespace boragedoor::platform
