--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -62,6 +62,10 @@
   }
 }
 
+std::vector<jobs::item_progress> job_runner::progress() const {
+  return run_.progress(chunk_bytes);
+}
+
 void job_runner::pump(time_point now) {
   if (stopped_) {
     return;
--- a/libs/instance/job_runner.h
+++ b/libs/instance/job_runner.h
@@ -28,6 +28,8 @@
   void pump(time_point now);
   /// Cancels all runs.
   void stop();
+  /// Texts in the making, for the member that goes on with the job.
+  [[nodiscard]] std::vector<jobs::item_progress> progress() const;
 
   [[nodiscard]] const jobs::job& contents() const { return run_.contents(); }
   /// Results that are in the store.
--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -55,10 +55,12 @@
     if (known == nullptr || heir == nullptr) {
       continue;
     }
-    jobs::job_record next = known->record;
-    next.runner = heir->id;
-    store_.replace_record(*known, std::move(next), [](const result<known_record>&) {
-      // Without an answer the heir takes the job over once this member is gone.
+    // The heir continues the texts where they stand. Without an answer it takes the job over once
+    // this member is gone.
+    store_.save_progress(*known, it->progress(), [this, old = *known, heir = heir->id] {
+      jobs::job_record next = old.record;
+      next.runner = heir;
+      store_.replace_record(old, std::move(next), [](const result<known_record>&) {});
     });
   }
 }
--- a/libs/jobs/job_run.cpp
+++ b/libs/jobs/job_run.cpp
@@ -364,11 +364,15 @@
 }
 
 std::vector<item_progress> job_run::take_progress(std::size_t max_bytes) {
-  std::vector<item_progress> list;
   if (events_ - events_kept_ < options_.events_between_keeps) {
-    return list;
+    return {};
   }
   events_kept_ = events_;
+  return progress(max_bytes);
+}
+
+std::vector<item_progress> job_run::progress(std::size_t max_bytes) const {
+  std::vector<item_progress> list;
   std::vector<const item_run*> texts;
   for (const item_run& it : runs_) {
     const bool making = it.at == phase::waiting || it.at == phase::running;
--- a/libs/jobs/job_run.h
+++ b/libs/jobs/job_run.h
@@ -114,8 +114,9 @@
   /// they are stored.
   std::vector<item_result> take_results(std::size_t max_bytes);
 
-  /// Texts in the making that are worth keeping, the longest first, up to about `max_bytes`. Empty
-  /// if too little has come since the last call.
+  /// Texts in the making that are worth keeping, the longest first, up to about `max_bytes`.
+  [[nodiscard]] std::vector<item_progress> progress(std::size_t max_bytes) const;
+  /// The same, but empty if too little has come since the last call.
   std::vector<item_progress> take_progress(std::size_t max_bytes);
 
   [[nodiscard]] bool all_finished() const;
--- a/tests/jobs/job_run_test.cpp
+++ b/tests/jobs/job_run_test.cpp
@@ -287,6 +287,8 @@
   REQUIRE(kept.size() == 1);
   CHECK(kept[0].last_event == 80);
   CHECK(before.take_progress(1'000'000).empty());
+  // A member that hands the job over gives away what it has, however little is new.
+  CHECK(before.progress(1'000'000).size() == 1);
 
   job_run after(make_job(1, 2), {}, kept);
   CHECK(after.last_event(0) == 80);
