--- a/libs/instance/configuration_task.h
+++ b/libs/instance/configuration_task.h
@@ -43,6 +43,7 @@
   configuration_task(instance_context& context, const std::string& prefix, operator_decoder decode);
 
   void start() { watch_.start(); }
+  [[nodiscard]] bool is_started() const { return watch_.is_started(); }
 
   /// A newer configuration is in force.
   sigc::signal<void()> applied;
--- a/libs/instance/endpoint_task.h
+++ b/libs/instance/endpoint_task.h
@@ -23,6 +23,8 @@
   endpoint_task(instance_context& context, const std::string& prefix, endpoint_decoder decode);
 
   void start() { watch_.start(); }
+  /// Adapts the pauses of the watch to the number of instances.
+  void set_instances(std::size_t n) { watch_.set_pause(watch_pause_for(n)); }
   [[nodiscard]] bool is_synced() const { return watch_.is_synced(); }
 
   /// An endpoint came, went or changed.
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -100,7 +100,8 @@
     spec.target = chosen->address;
     spec.message = context_.protocol.forward(exchange_->received(), to);
     spec.connect_timeout = connect_timeout;
-    spec.progress_timeout = to.time_left;
+    // The deadline's own timer comes first: it tells the caller that time has run out.
+    spec.progress_timeout = to.time_left + connect_timeout;
     // Such a request must not meet a connection that its server is just closing.
     spec.new_connection = where_.matched->kind != dispatch::route_kind::idempotent;
     plan_.sent(chosen->id, now);
@@ -121,7 +122,10 @@
     };
     it->call = context_.calls.send(std::move(spec), std::move(callbacks));
     context_.record(event_number::attempt_started, asked_.attempt, chosen->id,
-                    {{"service", service_}, {"open", plan_.open()}});
+                    {{"service", service_},
+                     {"open", plan_.open()},
+                     {"load", context_.endpoints.load_of(chosen->id, now)},
+                     {"available", context_.endpoints.available(service_)}});
     if (plan_.may_hedge(now)) {
       hedge_timer_.start_once(plan_.hedge_delay());
     }
--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -256,7 +256,7 @@
 }
 
 void job_service::end_known(const known_record& known, int attempts_left,
-                            std::function<void(result<void>)> done) {
+                            const std::function<void(result<void>)>& done) {
   if (known.record.ended) {
     done(success());
     return;
--- a/libs/instance/job_service.h
+++ b/libs/instance/job_service.h
@@ -43,6 +43,7 @@
   job_service& operator=(job_service&&) = delete;
 
   void start();
+  void set_instances(std::size_t n) { store_.set_instances(n); }
   /// Takes no more jobs over; those that run go on.
   void drain() { draining_ = true; }
   /// Stops running jobs and hands them to other members.
@@ -85,7 +86,7 @@
                    std::function<void(result<job_listing>)> done);
   void answer_waiting(time_point now);
   void end_known(const known_record& known, int attempts_left,
-                 std::function<void(result<void>)> done);
+                 const std::function<void(result<void>)>& done);
   void run(loaded_job loaded);
   void load_and_run(const std::string& job);
   void on_record(const std::string& job);
--- a/libs/instance/job_store.h
+++ b/libs/instance/job_store.h
@@ -56,6 +56,8 @@
   explicit job_store(instance_context& context);
 
   void start() { watch_.start(); }
+  /// Adapts the pauses of the watch to the number of instances.
+  void set_instances(std::size_t n) { watch_.set_pause(watch_pause_for(n)); }
   [[nodiscard]] const std::map<std::string, known_record, std::less<>>& records() const {
     return records_;
   }
--- a/libs/instance/member_task.cpp
+++ b/libs/instance/member_task.cpp
@@ -42,7 +42,11 @@
                   },
               .on_removed =
                   [this](const std::string& key) { members_.remove(key, context_.loop.now()); },
-              .on_synced = [this] { changed.emit(); },
+              .on_synced =
+                  [this] {
+                    watch_.set_pause(watch_pause_for(members_.all().size()));
+                    changed.emit();
+                  },
               .on_reachable = nullptr}),
       timer_(context.loop, [this] { tick(); }) {}
 
--- a/libs/instance/prefix_watch.h
+++ b/libs/instance/prefix_watch.h
@@ -12,6 +12,10 @@
 
 namespace boragedoor::instance {
 
+/// Pause between an answer and the next call. Each change of a watched key costs one call an
+/// instance, so the more instances there are, the more changes share a call.
+duration watch_pause_for(std::size_t instances);
+
 struct prefix_watch_options {
   /// Longest time that one call waits. It bounds how long a connection that has gone silent hides
   /// changes.
@@ -46,6 +50,9 @@
   prefix_watch& operator=(prefix_watch&&) = delete;
 
   void start();
+  [[nodiscard]] bool is_started() const { return started_; }
+  /// Changes the pause between an answer and the next call.
+  void set_pause(duration pause) { options_.pause = pause; }
   /// Whether the prefix has been listed at least once.
   [[nodiscard]] bool is_synced() const { return synced_; }
   [[nodiscard]] bool is_reachable() const { return reachable_; }
@@ -73,6 +80,7 @@
   std::uint64_t revision_ = 0;
   std::uint64_t list_revision_ = 0;
   duration delay_{};
+  bool started_ = false;
   bool synced_ = false;
   bool reachable_ = true;
   /// Answers that arrive after the destruction are dropped.
--- a/libs/instance/usage_task.cpp
+++ b/libs/instance/usage_task.cpp
@@ -120,12 +120,12 @@
                           {{"key", it.key}, {"reason", counts.error().message}});
         }
       }
-      freeze(window, std::move(sum));
+      freeze(window, sum);
     });
   });
 }
 
-void usage_task::freeze(std::uint64_t window, duties::usage_counts counts) {
+void usage_task::freeze(std::uint64_t window, const duties::usage_counts& counts) {
   // Once frozen the figures never change, whoever reports them and how often.
   store_change change;
   change.expected = {{frozen_key(window), 0}};
--- a/libs/instance/usage_task.h
+++ b/libs/instance/usage_task.h
@@ -31,7 +31,7 @@
   void tick();
   void flush(std::uint64_t window);
   void report_next(std::uint64_t window);
-  void freeze(std::uint64_t window, duties::usage_counts counts);
+  void freeze(std::uint64_t window, const duties::usage_counts& counts);
   void send(std::uint64_t window, const duties::usage_counts& counts);
   void end_step();
 
