--- a/tests/platform/process_test.cpp
+++ b/tests/platform/process_test.cpp
@@ -15,14 +15,16 @@
 
 constexpr duration patience = seconds(20);
 
-node_settings make_settings(const std::string& name, const net::address& store) {
+node_settings make_settings(const std::string& name, const net::address& store,
+                            const net::address& cloud) {
   node_settings it;
   it.instance = name;
   it.data_centre = "z1";
   it.region = "r1";
   it.callers = net::address{"127.0.0.1", 0};
   it.store = store;
-  it.cloud = {"127.0.0.1", 1};
+  it.cloud = cloud;
+  it.usage_window = seconds(1);
   it.lease_ttl = milliseconds(1500);
   return it;
 }
@@ -99,14 +101,24 @@
         log(events::event_log::create({.instance = "t", .boot = "b", .path = ""}).value()),
         caller(*loop) {
     store.put("op/config", make_configuration(3));
+    cloud = http1::server::listen(
+                *loop, {"127.0.0.1", 0},
+                [this](const std::shared_ptr<http1::exchange>& from) {
+                  if (from->received().target == "/usage") {
+                    reports.push_back(from->received());
+                  }
+                  from->respond({cloud_status, {}, {}});
+                },
+                &instance::listener_refusal)
+                .value();
     plain = std::make_unique<replica_stand_in>(
         *loop, store, replica_stand_in::options{.id = "p-1", .service = "plain"});
     start("first", first);
   }
 
   void start(const std::string& name, std::unique_ptr<serving_process>& to) {
-    to = std::make_unique<serving_process>(*loop, make_settings(name, store.address()), *log,
-                                           "boot");
+    to = std::make_unique<serving_process>(
+        *loop, make_settings(name, store.address(), cloud->local_address()), *log, "boot");
     REQUIRE(to->start());
     REQUIRE(loop->run_until(
         [&] {
@@ -169,6 +181,10 @@
 
   std::unique_ptr<net::event_loop> loop;
   store_stand_in store;
+  std::unique_ptr<http1::server> cloud;
+  /// Usage reports as they arrived, and what they are answered.
+  std::vector<http1::request> reports;
+  int cloud_status = 200;
   std::unique_ptr<events::event_log> log;
   http1::client caller;
   std::unique_ptr<replica_stand_in> plain;
@@ -327,6 +343,41 @@
   REQUIRE(it.loop->run_until([&] { return it.engine->version() == 5; }, patience));
 }
 
+TEST_CASE("usage is reported once a window, with the same figures however often it is sent") {
+  world it;
+  const auto counted = [&](const http1::request& report) {
+    return parse_json(report.body).value()["counts"].value("north", 0);
+  };
+  for (int n = 0; n < 3; ++n) {
+    it.call(*it.first, "POST", "/plans/7", "", "key-n", "a" + std::to_string(n));
+  }
+  // Refused reports are sent again.
+  it.cloud_status = 503;
+  REQUIRE(it.loop->run_until(
+      [&] {
+        int sum = 0;
+        for (const http1::request& report : it.reports) {
+          sum += counted(report);
+        }
+        return sum >= 3;
+      },
+      patience));
+  it.cloud_status = 200;
+  it.loop->run_until([] { return false; }, seconds(3));
+
+  std::map<std::string, std::string> by_window;
+  int sum = 0;
+  for (const http1::request& report : it.reports) {
+    const std::string window = to_text(parse_json(report.body).value()["window_index"]);
+    const auto [first, added] = by_window.emplace(window, report.body);
+    CHECK(first->second == report.body);
+    sum += added ? counted(report) : 0;
+    CHECK(net::find_header(report.headers, "Duty-Holder") == "first");
+    CHECK(http1::integer_header(report.headers, "Fencing-Token").value_or(0) > 0);
+  }
+  CHECK(sum == 3);
+}
+
 TEST_CASE("an instance with a disk may be removed at once, because nothing is kept there") {
   world it;
   it.store.put("op/retire/store-1", {{"duration_s", 10}});
