--- a/tests/platform/process_test.cpp
+++ b/tests/platform/process_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "base/json.h"
+#include "instance/error_response.h"
 #include "platform/base64.h"
 #include "replica_stand_in.h"
 #include "store_stand_in.h"
--- a/tests/platform/store_stand_in.cpp
+++ b/tests/platform/store_stand_in.cpp
@@ -215,7 +215,8 @@
   const std::string after = http1::query_parameter(target, "after").value_or("");
   json items = json::array();
   bool more = false;
-  for (auto it = items_.upper_bound(std::max(prefix, after)); it != items_.end(); ++it) {
+  for (auto it = after.empty() ? items_.lower_bound(prefix) : items_.upper_bound(after);
+       it != items_.end(); ++it) {
     if (!it->first.starts_with(prefix)) {
       break;
     }
