--- a/libs/dispatch/attempt_plan.cpp
+++ b/libs/dispatch/attempt_plan.cpp
@@ -11,7 +11,7 @@
       max_attempts_(std::max(on.max_attempts, 1)), target_(on.target_latency),
       deadline_(started + std::min(allowed, on.timeout)) {}
 
-void attempt_plan::sent(std::string endpoint, time_point /*now*/) {
+void attempt_plan::sent(std::string endpoint) {
   ++open_;
   tried_.push_back(std::move(endpoint));
 }
--- a/libs/dispatch/attempt_plan.h
+++ b/libs/dispatch/attempt_plan.h
@@ -41,7 +41,7 @@
                const attempt_options& options = {});
 
   /// Notes that the request is sent to an endpoint.
-  void sent(std::string endpoint, time_point now);
+  void sent(std::string endpoint);
   /// Notes the end of an attempt and says what to do now.
   next_step ended(attempt_result result, time_point now);
   /// Whether a second copy may be sent beside one that is open.
--- a/libs/instance/endpoint_task.h
+++ b/libs/instance/endpoint_task.h
@@ -25,7 +25,6 @@
   void start() { watch_.start(); }
   /// Adapts the pauses of the watch to the number of instances.
   void set_instances(std::size_t n) { watch_.set_pause(watch_pause_for(n)); }
-  [[nodiscard]] bool is_synced() const { return watch_.is_synced(); }
 
   /// An endpoint came, went or changed.
   sigc::signal<void()> changed;
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -104,7 +104,7 @@
     spec.progress_timeout = to.time_left + connect_timeout;
     // Such a request must not meet a connection that its server is just closing.
     spec.new_connection = where_.matched->kind != dispatch::route_kind::idempotent;
-    plan_.sent(chosen->id, now);
+    plan_.sent(chosen->id);
     context_.endpoints.note_sent(chosen->id, now);
     attempts_.push_back(it);
     http1::call_callbacks callbacks;
--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -75,14 +75,6 @@
   return static_cast<int>(n);
 }
 
-std::size_t job_service::running_items() const {
-  std::size_t n = 0;
-  for (const auto& [job, it] : runners_) {
-    n += it->running();
-  }
-  return n;
-}
-
 void job_service::submit(jobs::job it, std::function<void(submit_outcome)> done) {
   const auto entry = std::make_shared<submission>();
   entry->record = {.id = it.id,
--- a/libs/instance/job_service.h
+++ b/libs/instance/job_service.h
@@ -66,7 +66,6 @@
   /// Items of all jobs, on any instance, that have not ended and are not long overdue.
   [[nodiscard]] int open_items() const;
   [[nodiscard]] std::size_t running_jobs() const { return runners_.size(); }
-  [[nodiscard]] std::size_t running_items() const;
 
 private:
   struct submission;
