Keep suspects of crashing an endpoint apart across instances

Cause: a request that brought an endpoint down ran again at once at the endpoint that the suspects' order gives it, but innocent requests with the same crash record still ran there for other instances, and the instances chose among different endpoints, because each has its own verdicts on their health. The second crash then counted against neither and a third followed.

Change: suspects that run elsewhere move to their own endpoint when a record arrives, none starts within 250 ms of the newest record, and the choice is among all ready endpoints.

--- a/libs/daemon/completion_task.cpp
+++ b/libs/daemon/completion_task.cpp
@@ -235,18 +235,38 @@
   if (!suspects_.suspect(it.fingerprint)) {
     return list;
   }
+  // Where it failed before does not matter.
+  list = endpoints_.ready(it.spec.pool);
+  const auto place = place_of_suspect(it);
+  const bool allowed = place && suspects_.is_settled(context_.now()) &&
+                       requests::may_place(suspects_, it.fingerprint, running_on(*place));
+  if (allowed) {
+    std::erase(list, *place);
+  }
+  return list;
+}
+
+std::optional<std::string> completion_task::place_of_suspect(const active_completion& it) const {
   // All instances choose the same endpoint for a suspect, because they do not know each other's
-  // running requests. Where it failed before does not matter then.
-  const auto usable = endpoints_.usable(it.spec.pool);
-  const auto place = requests::suspect_endpoint(suspects_, it.fingerprint, usable);
-  list.clear();
-  for (const auto& endpoint : usable) {
-    if (endpoint != place ||
-        !requests::may_place(suspects_, it.fingerprint, running_on(endpoint))) {
-      list.push_back(endpoint);
+  // running requests. The verdicts on endpoints' health differ between instances, so they have no
+  // part in the choice.
+  return requests::suspect_endpoint(suspects_, it.fingerprint, endpoints_.ready(it.spec.pool));
+}
+
+void completion_task::separate_suspects() {
+  // A suspect that already ran elsewhere leaves for its own endpoint. Otherwise another suspect
+  // could meet it there, and their crash would count against neither.
+  std::vector<active_ptr> moving;
+  for (const auto& [number, it] : active_) {
+    if (it->attempt && it->endpoint && suspects_.suspect(it->fingerprint) &&
+        place_of_suspect(*it) != it->endpoint->id) {
+      moving.push_back(it);
     }
   }
-  return list;
+  for (const active_ptr& it : moving) {
+    pause(it);
+    dispatch(it);
+  }
 }
 
 void completion_task::dispatch(const active_ptr& it) {
@@ -543,6 +563,7 @@
                                      const std::string& except) {
   if (!records.empty()) {
     peers_.broadcast({{"type", "crash_suspects"}, {"records", requests::to_json(records)}}, except);
+    separate_suspects();
   }
 }
 
--- a/libs/daemon/completion_task.h
+++ b/libs/daemon/completion_task.h
@@ -120,6 +120,8 @@
   void measure(const char* name, const char* help, const active_completion& it) const;
   [[nodiscard]] std::vector<std::string> running_on(const std::string& endpoint) const;
   [[nodiscard]] std::vector<std::string> endpoints_to_avoid(const active_completion& it) const;
+  [[nodiscard]] std::optional<std::string> place_of_suspect(const active_completion& it) const;
+  void separate_suspects();
   [[nodiscard]] static retry::executed executed_so_far(const active_completion& it);
 
   const daemon_context& context_;
--- a/libs/daemon/endpoint_task.cpp
+++ b/libs/daemon/endpoint_task.cpp
@@ -331,11 +331,10 @@
   }
 }
 
-std::vector<std::string> endpoint_task::usable(std::string_view pool) const {
+std::vector<std::string> endpoint_task::ready(std::string_view pool) const {
   std::vector<std::string> list;
   table_.for_each([&](const routing::endpoint& it) {
-    if (it.pool == pool && it.state == routing::endpoint_state::ready &&
-        health_.state(it.id) != routing::health_state::set_aside) {
+    if (it.pool == pool && it.state == routing::endpoint_state::ready) {
       list.push_back(it.id);
     }
   });
--- a/libs/daemon/endpoint_task.h
+++ b/libs/daemon/endpoint_task.h
@@ -56,8 +56,8 @@
   /// its load again, so that another crash is not taken for the same one.
   void process_ended(const std::string& endpoint, const std::string& incarnation);
 
-  /// Ready endpoints of a pool that are not set aside.
-  [[nodiscard]] std::vector<std::string> usable(std::string_view pool) const;
+  /// Ready endpoints of a pool, also those that are set aside.
+  [[nodiscard]] std::vector<std::string> ready(std::string_view pool) const;
 
   /// Whether an engine has reported its load and version to this instance.
   [[nodiscard]] bool has_reported(const std::string& endpoint) const {
--- a/libs/requests/crash_suspects.cpp
+++ b/libs/requests/crash_suspects.cpp
@@ -84,6 +84,7 @@
     order_.erase({place->second, id, it.fingerprint});
     place->second = it.at;
   }
+  last_heard_ = now;
   by_fingerprint_[it.fingerprint].insert(id);
   order_.insert({it.at, id, it.fingerprint});
   while (order_.size() > options_.capacity) {
@@ -177,6 +178,10 @@
          })) >= crashes_to_quarantine;
 }
 
+bool crash_suspects::is_settled(time_point now) const {
+  return !last_heard_ || now - *last_heard_ >= options_.separation;
+}
+
 std::vector<std::string> crash_suspects::suspects() const {
   std::vector<std::string> list;
   std::set<std::string_view> seen;
--- a/libs/requests/crash_suspects.h
+++ b/libs/requests/crash_suspects.h
@@ -46,6 +46,10 @@
   /// Wait for the records of other instances before a request is quarantined. They take a few
   /// milliseconds for each of at most 5 hops; the rest is for noticing the crash.
   duration settle = seconds(2);
+  /// Wait before a suspect runs again, counted from the newest record. By then every instance has
+  /// the record (a few milliseconds for each of at most 5 hops) and has moved its own suspects away
+  /// from the endpoints of others.
+  duration separation = milliseconds(250);
   /// Records further ahead of this instance's clock are refused, because they would never expire.
   duration clock_allowance = std::chrono::minutes(5);
 };
@@ -78,6 +82,8 @@
   [[nodiscard]] bool held(std::string_view fingerprint) const;
   /// Whether it is held and all instances had time to report what else ran there.
   [[nodiscard]] bool quarantined(time_point now, std::string_view fingerprint) const;
+  /// Whether all instances had time to move their suspects to endpoints of their own.
+  [[nodiscard]] bool is_settled(time_point now) const;
   /// Suspects that are not held, in the order in which they became suspects.
   [[nodiscard]] std::vector<std::string> suspects() const;
   [[nodiscard]] std::vector<crash_record> records() const;
@@ -105,6 +111,8 @@
   [[nodiscard]] bool crashed_before(std::string_view fingerprint, const crash_id& id) const;
 
   suspect_options options_;
+  /// When the newest record was heard.
+  std::optional<time_point> last_heard_;
   std::map<crash_id, process_end> crashes_;
   /// The crashes of each fingerprint.
   std::map<std::string, std::set<crash_id>, std::less<>> by_fingerprint_;
--- a/tests/requests/crash_suspects_test.cpp
+++ b/tests/requests/crash_suspects_test.cpp
@@ -52,6 +52,13 @@
     CHECK(suspects.held("x"));
     CHECK_FALSE(suspects.held("y"));
   }
+  SECTION("run again only when every instance had time to move its suspects apart") {
+    CHECK_FALSE(suspects.is_settled({}));
+    CHECK_FALSE(suspects.is_settled(time_point(milliseconds(249))));
+    CHECK(suspects.is_settled(time_point(milliseconds(250))));
+    suspects.record_crash(settled, start + seconds(1), "e2", "b", names{"x"});
+    CHECK_FALSE(suspects.is_settled(settled));
+  }
   SECTION("get an endpoint each, the same on all instances") {
     const names endpoints = {"e1", "e2", "e3"};
     const auto of_x = suspect_endpoint(suspects, "x", endpoints);
