List a step when its trainer can go on

Cause: trainers pause for half a second after each listing that they read.

Finished texts of 60 events or more that wait for it are kept with the texts in the making. group_tally replaces the search through all items for each finished one; the unused rank is gone.

--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -41,8 +41,8 @@
 
 job_runner::job_runner(instance_context& context, job_store& store, loaded_job loaded)
     : context_(context), store_(store),
-      run_(std::move(loaded.contents), loaded.listed, loaded.begun), listed_(loaded.listed.size()),
-      next_keep_(context.loop.now() + keep_interval) {}
+      run_(std::move(loaded.contents), loaded.listed, context.loop.now(), loaded.begun),
+      listed_(loaded.listed.size()), next_keep_(context.loop.now() + keep_interval) {}
 
 job_runner::~job_runner() {
   *alive_ = false;
@@ -431,11 +431,12 @@
 
 void job_runner::list_results(time_point now) {
   if (!chunk_) {
-    if (now < next_listing_ || !run_.results_due(now)) {
+    const auto to_due = std::chrono::duration_cast<duration>(run_.contents().due - wall_now());
+    if (now < next_listing_ || !run_.results_due(now, to_due)) {
       return;
     }
     next_listing_ = now + listing_interval;
-    chunk_ = std::make_unique<chunk>(chunk{listed_, run_.take_results(chunk_bytes)});
+    chunk_ = std::make_unique<chunk>(chunk{listed_, run_.take_results(chunk_bytes, now)});
   }
   if (chunk_->sent || now < chunk_->not_before) {
     return;
--- /dev/null
+++ b/libs/jobs/group_tally.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstddef>
+#include <span>
+#include <vector>
+
+#include "jobs/job.h"
+
+namespace boragedoor::jobs {
+
+/// Counts the unfinished items of each group of a job.
+class group_tally {
+public:
+  explicit group_tally(std::span<const job_item> items);
+
+  /// An item has its result. Call once an item.
+  void finish(std::size_t item);
+  [[nodiscard]] bool is_complete(std::size_t item) const {
+    return unfinished_[group_of_[item]] == 0;
+  }
+  [[nodiscard]] std::size_t groups() const { return unfinished_.size(); }
+  [[nodiscard]] std::size_t complete_groups() const { return complete_; }
+
+private:
+  /// Index of the group of each item.
+  std::vector<std::size_t> group_of_;
+  std::vector<std::size_t> unfinished_;
+  std::size_t complete_ = 0;
+};
+
+} // namespace boragedoor::jobs
--- a/libs/jobs/job_run.cpp
+++ b/libs/jobs/job_run.cpp
@@ -13,9 +13,10 @@
 
 } // namespace
 
-job_run::job_run(job contents, std::span<const item_result> listed,
+job_run::job_run(job contents, std::span<const item_result> listed, time_point now,
                  std::span<const item_progress> begun, const job_run_options& options)
-    : job_(std::move(contents)), options_(options), runs_(job_.items.size()) {
+    : job_(std::move(contents)), options_(options), runs_(job_.items.size()), groups_(job_.items),
+      listing_(now, options.listing) {
   std::map<std::string_view, std::size_t> index;
   for (std::size_t n = 0; n < job_.items.size(); ++n) {
     index.emplace(job_.items[n].id, n);
@@ -23,6 +24,7 @@
   for (const item_result& it : listed) {
     if (const auto found = index.find(it.id); found != index.end()) {
       runs_[found->second].at = phase::handed_over;
+      groups_.finish(found->second);
     }
   }
   for (const item_progress& it : begun) {
@@ -68,9 +70,6 @@
     }
     return job_.items[a].expected_tokens > job_.items[b].expected_tokens;
   });
-  for (std::size_t n = 0; n < order_.size(); ++n) {
-    runs_[order_[n]].rank = n;
-  }
 }
 
 std::optional<std::size_t> job_run::next_item(time_point now) const {
@@ -156,15 +155,15 @@
     it.at = phase::text_done;
     it.not_before = now;
     if (!job_.items[n].reward) {
-      finish(it, item_state::done, now);
+      finish(n, item_state::done, now);
     }
     return;
   case run_end::impossible:
-    finish(it, item_state::terminated, now);
+    finish(n, item_state::terminated, now);
     return;
   case run_end::failed:
     if (++it.failures >= job_.max_attempts) {
-      finish(it, item_state::terminated, now);
+      finish(n, item_state::terminated, now);
       return;
     }
     retry_later(it, endpoint, now);
@@ -202,7 +201,9 @@
   }
 }
 
-void job_run::finish(item_run& it, item_state outcome, time_point now) {
+void job_run::finish(std::size_t n, item_state outcome, time_point now) {
+  item_run& it = runs_[n];
+  groups_.finish(n);
   it.at = phase::finished;
   it.outcome = outcome;
   it.finished_at = now;
@@ -229,11 +230,11 @@
   }
   if (how == reward_end::scored) {
     it.score = std::move(score);
-    finish(it, item_state::done, now);
+    finish(n, item_state::done, now);
     return;
   }
   if (how == reward_end::failed && ++it.reward_failures >= reward_attempts) {
-    finish(it, item_state::terminated, now);
+    finish(n, item_state::terminated, now);
     return;
   }
   it.at = phase::text_done;
@@ -307,34 +308,30 @@
   if (now < job_.give_up) {
     return;
   }
-  for (item_run& it : runs_) {
-    if (it.at != phase::finished && it.at != phase::handed_over) {
-      finish(it, item_state::terminated, monotonic);
-    }
-  }
-}
-
-bool job_run::group_finished(std::string_view group) const {
   for (std::size_t n = 0; n < runs_.size(); ++n) {
-    if (job_.items[n].group == group && runs_[n].at != phase::finished &&
-        runs_[n].at != phase::handed_over) {
-      return false;
+    if (runs_[n].at != phase::finished && runs_[n].at != phase::handed_over) {
+      finish(n, item_state::terminated, monotonic);
     }
   }
-  return true;
 }
 
-bool job_run::results_due(time_point now) const {
+bool job_run::results_due(time_point now, duration to_due) const {
+  unlisted_results unlisted;
   for (std::size_t n = 0; n < runs_.size(); ++n) {
-    if (runs_[n].at == phase::finished && (now - runs_[n].finished_at >= options_.listing_delay ||
-                                           group_finished(job_.items[n].group))) {
-      return true;
+    if (runs_[n].at != phase::finished) {
+      continue;
     }
+    unlisted.oldest =
+        unlisted.any ? std::min(unlisted.oldest, runs_[n].finished_at) : runs_[n].finished_at;
+    unlisted.any = true;
+    unlisted.whole_group = unlisted.whole_group || groups_.is_complete(n);
   }
-  return false;
+  const std::size_t wanted = std::min(job_.desired_groups, groups_.groups());
+  return listing_.is_due(unlisted, wanted > 0, groups_.complete_groups() >= wanted, to_due, now);
 }
 
-std::vector<item_result> job_run::take_results(std::size_t max_bytes) {
+std::vector<item_result> job_run::take_results(std::size_t max_bytes, time_point now) {
+  listing_.listed(now);
   std::vector<item_result> list;
   std::size_t bytes = 0;
   for (const std::size_t n : order_) {
@@ -371,12 +368,28 @@
   return progress(max_bytes);
 }
 
+bool job_run::is_worth_keeping(const item_run& it) const {
+  switch (it.at) {
+  case phase::waiting:
+  case phase::running:
+    return it.last_event && *it.last_event >= options_.least_kept_events;
+  case phase::text_done:
+  case phase::scoring:
+    return it.last_event && *it.last_event >= options_.least_finished_events;
+  case phase::finished:
+    return it.outcome == item_state::done && it.last_event &&
+           *it.last_event >= options_.least_finished_events;
+  case phase::handed_over:
+    return false;
+  }
+  return false;
+}
+
 std::vector<item_progress> job_run::progress(std::size_t max_bytes) const {
   std::vector<item_progress> list;
   std::vector<const item_run*> texts;
   for (const item_run& it : runs_) {
-    const bool making = it.at == phase::waiting || it.at == phase::running;
-    if (making && it.last_event && *it.last_event >= options_.least_kept_events) {
+    if (is_worth_keeping(it)) {
       texts.push_back(&it);
     }
   }
--- a/libs/jobs/job_run.h
+++ b/libs/jobs/job_run.h
@@ -11,7 +11,9 @@
 
 #include "base/time.h"
 #include "jobs/event_reader.h"
+#include "jobs/group_tally.h"
 #include "jobs/job.h"
+#include "jobs/listing_schedule.h"
 
 namespace boragedoor::jobs {
 
@@ -40,9 +42,6 @@
   /// in between. A request that crashes its endpoints must not take down one after the other.
   duration first_retry = milliseconds(50);
   duration longest_retry = seconds(20);
-  /// Results of a complete group are listed at once, because the trainer waits for groups. Others
-  /// wait this long, so that one write lists several.
-  duration listing_delay = seconds(1);
   /// A run whose events take this many times the median of all runs is moved.
   double slow_factor = 2;
   /// Events that a run needs before its pace is judged.
@@ -58,6 +57,10 @@
   /// job has this many more events.
   std::uint64_t least_kept_events = 20;
   std::uint64_t events_between_keeps = 60;
+  /// Finished texts of at least this many events are kept too until they are listed: making one
+  /// anew takes longer than a step can wait.
+  std::uint64_t least_finished_events = 60;
+  listing_schedule_options listing;
 };
 
 /// The runs of one batch job. Decides which item starts next and what may be listed; the caller
@@ -66,7 +69,7 @@
 public:
   /// `listed` are the results that the store holds, in the order of their positions; `begun` are
   /// texts that another instance had begun.
-  job_run(job contents, std::span<const item_result> listed,
+  job_run(job contents, std::span<const item_result> listed, time_point now,
           std::span<const item_progress> begun = {}, const job_run_options& options = {});
 
   [[nodiscard]] const job& contents() const { return job_; }
@@ -108,11 +111,12 @@
   /// Gives up what is not finished when the job's time is over.
   void give_up(wall_time now, time_point monotonic);
 
-  /// Whether results should be listed now.
-  [[nodiscard]] bool results_due(time_point now) const;
+  /// Whether results should be listed now; `to_due` is the time left until the job's results are
+  /// due.
+  [[nodiscard]] bool results_due(time_point now, duration to_due) const;
   /// Hands over finished results, at most about `max_bytes` of text; the caller keeps them until
   /// they are stored.
-  std::vector<item_result> take_results(std::size_t max_bytes);
+  std::vector<item_result> take_results(std::size_t max_bytes, time_point now);
 
   /// Texts in the making that are worth keeping, the longest first, up to about `max_bytes`.
   [[nodiscard]] std::vector<item_progress> progress(std::size_t max_bytes) const;
@@ -145,17 +149,15 @@
     time_point last_progress{};
     time_point run_started{};
     int run_events = 0;
-    /// Lower starts first.
-    std::size_t rank = 0;
     item_state outcome = item_state::done;
     std::string score;
     time_point finished_at{};
   };
 
   void rank_items();
-  void finish(item_run& it, item_state outcome, time_point now);
+  void finish(std::size_t n, item_state outcome, time_point now);
   void retry_later(item_run& it, std::string_view endpoint, time_point now);
-  [[nodiscard]] bool group_finished(std::string_view group) const;
+  [[nodiscard]] bool is_worth_keeping(const item_run& it) const;
   [[nodiscard]] std::optional<double> pace(const item_run& it) const;
   /// Median seconds between events over the runs in progress; 0 while none is known.
   [[nodiscard]] double median_pace() const;
@@ -164,6 +166,8 @@
   job job_;
   job_run_options options_;
   std::vector<item_run> runs_;
+  group_tally groups_;
+  listing_schedule listing_;
   /// Items by rank, for `next_item`.
   std::vector<std::size_t> order_;
   std::map<std::string, std::string, std::less<>> group_endpoints_;
