Run the steps of a trainer at two instances and read results from them

Shared watches answered each change at once.

Change: a submission goes to the instance that the route and the parity of the step name (rendezvous), and is taken where it arrived if that one does not answer. Reads go to the runner, which keeps the listed texts until the job ends (listed_results); the store answers for it when it is silent or without a lease. An instance that watches for others pauses 400 ms between two watches, its followers 100 ms.

--- a/libs/duties/member_table.cpp
+++ b/libs/duties/member_table.cpp
@@ -78,9 +78,10 @@
   return list;
 }
 
-bool member_table::is_live(std::string_view id) const {
-  return std::any_of(by_key_.begin(), by_key_.end(),
-                     [id](const auto& it) { return it.second.id == id; });
+const member* member_table::find(std::string_view id) const {
+  const auto it = std::find_if(by_key_.begin(), by_key_.end(),
+                               [id](const auto& entry) { return entry.second.id == id; });
+  return it == by_key_.end() ? nullptr : &it->second;
 }
 
 bool member_table::is_gone(std::string_view id, time_point watching_since, time_point now) const {
@@ -112,23 +113,11 @@
   return list.size() < least_shared ? nullptr : oldest_of(list);
 }
 
-std::size_t member_table::watchers() const {
-  std::map<std::string_view, std::size_t> centres;
-  for (const member* it : active()) {
-    ++centres[it->data_centre];
-  }
-  std::size_t n = 0;
-  for (const auto& [data_centre, members] : centres) {
-    n += members < least_shared ? members : 1;
-  }
-  return n;
-}
-
-const member* member_table::heir(std::string_view job) const {
+const member* member_table::heir(std::string_view name) const {
   const auto list = active();
   const auto it =
-      std::max_element(list.begin(), list.end(), [job](const member* left, const member* right) {
-        return rendezvous_weight(job, left->id) < rendezvous_weight(job, right->id);
+      std::max_element(list.begin(), list.end(), [name](const member* left, const member* right) {
+        return rendezvous_weight(name, left->id) < rendezvous_weight(name, right->id);
       });
   return it == list.end() ? nullptr : *it;
 }
--- a/libs/duties/member_table.h
+++ b/libs/duties/member_table.h
@@ -53,7 +53,8 @@
   void remove(std::string_view key, time_point now);
 
   [[nodiscard]] std::vector<member> all() const;
-  [[nodiscard]] bool is_live(std::string_view id) const;
+  [[nodiscard]] const member* find(std::string_view id) const;
+  [[nodiscard]] bool is_live(std::string_view id) const { return find(id) != nullptr; }
   /// Whether a member has been missing for long enough to take its work over. One that was never
   /// seen counts as missing since `watching_since`.
   [[nodiscard]] bool is_gone(std::string_view id, time_point watching_since, time_point now) const;
@@ -63,10 +64,9 @@
   /// The member that follows the store for all of a data centre; nullptr where there are too few
   /// for that to save calls. It is the oldest one there, so that it changes rarely.
   [[nodiscard]] const member* watcher_of(std::string_view data_centre) const;
-  /// Members that follow the store themselves.
-  [[nodiscard]] std::size_t watchers() const;
-  /// The member that takes over a job, the same on every instance; never a draining one.
-  [[nodiscard]] const member* heir(std::string_view job) const;
+  /// The member that takes something over, or takes it on, by its name: a job, for example. It is
+  /// the same on every instance and never a draining one.
+  [[nodiscard]] const member* heir(std::string_view name) const;
 
 private:
   [[nodiscard]] std::vector<const member*> active() const;
--- /dev/null
+++ b/libs/instance/job_peer.cpp
@@ -0,0 +1,193 @@
+#include "instance/job_peer.h"
+
+#include <charconv>
+#include <span>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "base/json.h"
+#include "base/json_binary.h"
+#include "base/json_fields.h"
+#include "instance/error_response.h"
+#include "jobs/job_documents.h"
+
+namespace boragedoor::instance {
+
+namespace {
+
+constexpr std::string_view read_path = "/jobs/results";
+constexpr std::string_view submit_path = "/jobs";
+
+constexpr duration connect_timeout = milliseconds(300);
+/// What a call may take beside its wait. Readers allow 1.5 s more than they ask to wait, and the
+/// store must be asked within that time if the member is silent.
+constexpr duration read_slack = milliseconds(400);
+/// A submission is in the store within milliseconds, or the store is slow; trainers wait four
+/// seconds.
+constexpr duration submit_limit = milliseconds(1500);
+
+constexpr int ok = 200;
+constexpr int accepted = 202;
+constexpr int not_here = 404;
+constexpr int refused = 503;
+constexpr int outcome_unknown = 504;
+
+std::string to_message(const job_listing& it) {
+  return to_cbor({{"total", it.total},
+                  {"next", it.next},
+                  {"results", binary(jobs::to_document(std::span(it.results)))}});
+}
+
+std::optional<job_listing> listing_from_message(std::string_view message) {
+  const auto parsed = parse_cbor(message);
+  job_listing listing;
+  std::string results;
+  if (!parsed || !read_field(parsed.value(), "total", listing.total) ||
+      !read_field(parsed.value(), "next", listing.next) ||
+      !read_binary(parsed.value(), "results", results)) {
+    return std::nullopt;
+  }
+  auto list = jobs::results_from_document(results);
+  if (!list) {
+    return std::nullopt;
+  }
+  listing.results = std::move(list).value();
+  return listing;
+}
+
+submit_outcome to_outcome(int status) {
+  switch (status) {
+  case accepted:
+    return submit_outcome::accepted;
+  case refused:
+    return submit_outcome::refused;
+  default:
+    return submit_outcome::unknown;
+  }
+}
+
+int to_status(submit_outcome outcome) {
+  switch (outcome) {
+  case submit_outcome::accepted:
+    return accepted;
+  case submit_outcome::refused:
+    return refused;
+  case submit_outcome::unknown:
+    return outcome_unknown;
+  }
+  return outcome_unknown;
+}
+
+std::size_t number_parameter(std::string_view target, std::string_view name) {
+  const std::string text = http1::query_parameter(target, name).value_or(std::string());
+  std::size_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+} // namespace
+
+job_peer::job_peer(net::event_loop& loop, member_task& members, service own)
+    : members_(members), calls_(loop), own_(std::move(own)) {}
+
+std::optional<net::address> job_peer::address_of(std::string_view member) const {
+  const duties::member* it = members_.members().find(member);
+  if (it == nullptr) {
+    return std::nullopt;
+  }
+  const net::address at = net::parse_address(it->relay);
+  return at.port == 0 ? std::nullopt : std::optional(at);
+}
+
+void job_peer::read(std::string_view member, const std::string& job, std::size_t after,
+                    duration wait, std::function<void(std::optional<job_listing>)> done) {
+  const auto at = address_of(member);
+  if (!at) {
+    done(std::nullopt);
+    return;
+  }
+  http1::call_spec spec;
+  spec.target = *at;
+  spec.message = {"GET",
+                  fmt::format("{}?job={}&after={}&wait_ms={}", read_path,
+                              net::encode_component(job), after,
+                              std::chrono::duration_cast<milliseconds>(wait).count()),
+                  {{"Host", net::to_string(*at)}},
+                  {}};
+  spec.connect_timeout = connect_timeout;
+  spec.progress_timeout = wait + read_slack;
+  http1::call_callbacks callbacks;
+  callbacks.on_end = [done = std::move(done)](http1::call_outcome outcome,
+                                              const http1::response& it) {
+    done(outcome == http1::call_outcome::complete && it.status == ok ? listing_from_message(it.body)
+                                                                     : std::nullopt);
+  };
+  calls_.send(std::move(spec), std::move(callbacks));
+}
+
+void job_peer::submit(std::string_view member, const jobs::job& it,
+                      std::function<void(submit_outcome)> done) {
+  const auto at = address_of(member);
+  if (!at) {
+    done(submit_outcome::refused);
+    return;
+  }
+  http1::call_spec spec;
+  spec.target = *at;
+  spec.message = {
+      "POST", std::string(submit_path), {{"Host", net::to_string(*at)}}, jobs::to_document(it)};
+  spec.connect_timeout = connect_timeout;
+  spec.progress_timeout = submit_limit;
+  http1::call_callbacks callbacks;
+  callbacks.on_end = [done = std::move(done)](http1::call_outcome outcome,
+                                              const http1::response& answer) {
+    if (outcome == http1::call_outcome::not_connected) {
+      done(submit_outcome::refused);
+    } else {
+      done(outcome == http1::call_outcome::complete ? to_outcome(answer.status)
+                                                    : submit_outcome::unknown);
+    }
+  };
+  calls_.send(std::move(spec), std::move(callbacks));
+}
+
+bool job_peer::answer(const std::shared_ptr<http1::exchange>& from) {
+  const std::string_view path = http1::path_of(from->received().target);
+  if (path == read_path) {
+    answer_read(from);
+  } else if (path == submit_path) {
+    answer_submission(from);
+  } else {
+    return false;
+  }
+  return true;
+}
+
+void job_peer::answer_read(const std::shared_ptr<http1::exchange>& from) {
+  const std::string& target = from->received().target;
+  own_.read(http1::query_parameter(target, "job").value_or(std::string()),
+            number_parameter(target, "after"), milliseconds(number_parameter(target, "wait_ms")),
+            [from](const std::optional<job_listing>& it) {
+              if (it) {
+                from->respond({ok, {{"Content-Type", "application/cbor"}}, to_message(*it)});
+              } else {
+                from->respond(error_response(not_here, "not_here", "the job does not run here",
+                                             executed::no));
+              }
+            });
+}
+
+void job_peer::answer_submission(const std::shared_ptr<http1::exchange>& from) {
+  auto job = jobs::job_from_document(from->received().body);
+  from->drop_body();
+  if (!job) {
+    from->respond(error_response(refused, "invalid_job", "the job cannot be read", executed::no));
+    return;
+  }
+  own_.submit(std::move(job).value(), [from](submit_outcome outcome) {
+    from->respond({to_status(outcome), {}, {}});
+  });
+}
+
+} // namespace boragedoor::instance
--- /dev/null
+++ b/libs/instance/job_peer.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "http1/client.h"
+#include "http1/exchange.h"
+#include "instance/member_task.h"
+#include "jobs/job.h"
+
+namespace boragedoor::instance {
+
+/// Results of a job from a position on.
+struct job_listing {
+  std::size_t total = 0;
+  std::size_t next = 0;
+  std::vector<jobs::item_result> results;
+};
+
+enum class submit_outcome {
+  accepted,
+  /// Certainly not accepted; it may be submitted again.
+  refused,
+  /// Not known; the same job may be submitted again.
+  unknown,
+};
+
+/// Calls about jobs between instances: reads go to the instance that runs the job, and submissions
+/// to the one that is to run it.
+class job_peer {
+public:
+  /// What an instance answers for. `read` has no listing where the job does not run here.
+  struct service {
+    std::function<void(const std::string& job, std::size_t after, duration wait,
+                       std::function<void(std::optional<job_listing>)> done)>
+        read;
+    std::function<void(jobs::job it, std::function<void(submit_outcome)> done)> submit;
+  };
+
+  job_peer(net::event_loop& loop, member_task& members, service own);
+
+  /// Reads results from a member. No listing: the member does not answer, or does not run the job.
+  void read(std::string_view member, const std::string& job, std::size_t after, duration wait,
+            std::function<void(std::optional<job_listing>)> done);
+  /// Submits a job through a member. `unknown` if it does not answer.
+  void submit(std::string_view member, const jobs::job& it,
+              std::function<void(submit_outcome)> done);
+  /// Answers a call of another instance. False: the call is not one of those.
+  bool answer(const std::shared_ptr<http1::exchange>& from);
+
+private:
+  [[nodiscard]] std::optional<net::address> address_of(std::string_view member) const;
+  void answer_read(const std::shared_ptr<http1::exchange>& from);
+  void answer_submission(const std::shared_ptr<http1::exchange>& from);
+
+  member_task& members_;
+  http1::client calls_;
+  service own_;
+};
+
+} // namespace boragedoor::instance
--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -21,6 +21,11 @@
 constexpr duration reward_limit = seconds(2);
 /// Bytes of text in one value of the store, which may have one megabyte with its encoding.
 constexpr std::size_t chunk_bytes = 512UL * 1024;
+/// Text of listed results that readers get without a call to the store. A step of 128 texts has
+/// about one megabyte.
+constexpr std::size_t kept_bytes = 2UL * 1024 * 1024;
+/// How long after its time is over the results of a job that nobody ended are read from here.
+constexpr duration read_time = seconds(20);
 /// Groups that are complete within this time are listed by one call.
 constexpr duration listing_interval = milliseconds(120);
 constexpr duration listing_retry = milliseconds(250);
@@ -42,7 +47,7 @@
 job_runner::job_runner(instance_context& context, job_store& store, loaded_job loaded)
     : context_(context), store_(store),
       run_(std::move(loaded.contents), loaded.listed, context.loop.now(), loaded.begun),
-      listed_(loaded.listed.size()), next_keep_(context.loop.now() + keep_interval) {}
+      listed_(loaded.listed.size(), kept_bytes), next_keep_(context.loop.now() + keep_interval) {}
 
 job_runner::~job_runner() {
   *alive_ = false;
@@ -62,6 +67,15 @@
   }
 }
 
+bool job_runner::is_done() const {
+  return stopped_ ||
+         (run_.all_finished() && !chunk_ && wall_now() >= run_.contents().give_up + read_time);
+}
+
+std::optional<std::vector<jobs::item_result>> job_runner::results(std::size_t after) const {
+  return listed_.read(after, chunk_bytes);
+}
+
 std::vector<jobs::item_progress> job_runner::progress() const {
   return run_.progress(chunk_bytes);
 }
@@ -436,7 +450,7 @@
       return;
     }
     next_listing_ = now + listing_interval;
-    chunk_ = std::make_unique<chunk>(chunk{listed_, run_.take_results(chunk_bytes, now)});
+    chunk_ = std::make_unique<chunk>(chunk{listed_.end(), run_.take_results(chunk_bytes, now)});
   }
   if (chunk_->sent || now < chunk_->not_before) {
     return;
@@ -484,12 +498,13 @@
     chunk_->not_before = now + listing_retry;
     return;
   }
-  listed_ += chunk_->results.size();
+  const std::size_t added = chunk_->results.size();
+  listed_.append(std::move(chunk_->results));
   context_.measure("boragedoor_job_listing_seconds",
                    "time from a job's submission to each write of results, seconds",
                    std::chrono::duration_cast<duration>(wall_now() - run_.contents().submitted));
   context_.record(event_number::results_listed, job, {},
-                  {{"results", chunk_->results.size()}, {"listed", listed_}});
+                  {{"results", added}, {"listed", listed_.end()}});
   chunk_.reset();
   if (!stopped_) {
     pump(now);
--- a/libs/instance/job_runner.h
+++ b/libs/instance/job_runner.h
@@ -10,6 +10,7 @@
 #include "instance/job_store.h"
 #include "jobs/event_reader.h"
 #include "jobs/job_run.h"
+#include "jobs/listed_results.h"
 
 namespace boragedoor::instance {
 
@@ -33,9 +34,12 @@
 
   [[nodiscard]] const jobs::job& contents() const { return run_.contents(); }
   /// Results that are in the store.
-  [[nodiscard]] std::size_t listed() const { return listed_; }
-  /// Nothing is left to run or to list.
-  [[nodiscard]] bool is_done() const { return stopped_ || (run_.all_finished() && !chunk_); }
+  [[nodiscard]] std::size_t listed() const { return listed_.end(); }
+  /// Results from position `after` on; nothing if only the store has them.
+  [[nodiscard]] std::optional<std::vector<jobs::item_result>> results(std::size_t after) const;
+  /// Stopped, or nothing is left to run or to list and the time of the job is over. Until then its
+  /// results are read from here.
+  [[nodiscard]] bool is_done() const;
   [[nodiscard]] std::size_t running() const { return run_.running(); }
 
 private:
@@ -85,7 +89,7 @@
   std::map<std::size_t, std::shared_ptr<open_call>> runs_;
   std::map<std::size_t, std::shared_ptr<open_call>> rewards_;
   std::unique_ptr<chunk> chunk_;
-  std::size_t listed_;
+  jobs::listed_results listed_;
   time_point next_listing_{};
   time_point next_keep_{};
   bool keeping_ = false;
--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <fmt/format.h>
+
 namespace boragedoor::instance {
 
 namespace {
@@ -17,6 +19,9 @@
 /// How long a submission is repeated whose outcome is not known. Trainers wait four seconds.
 constexpr duration submit_limit = seconds(3);
 constexpr duration submit_retry = milliseconds(100);
+/// Steps of a trainer that run at the same time. Each of them has an instance of its own, and the
+/// next but one runs there again, over connections to the engines that are still open.
+constexpr std::uint64_t steps_at_once = 2;
 /// Attempts to end a job against concurrent changes of its record.
 constexpr int end_attempts = 5;
 /// Jobs count as demand for this long. Trainers end a step after about ten seconds.
@@ -35,6 +40,11 @@
 
 job_service::job_service(instance_context& context, member_task& members)
     : context_(context), members_(members), store_(context),
+      peer_(context.loop, members,
+            {.read = [this](const std::string& job, std::size_t after, duration wait,
+                            auto done) { read_here(job, after, wait, std::move(done)); },
+             .submit = [this](jobs::job it,
+                              auto done) { submit_here(std::move(it), false, std::move(done)); }}),
       pump_timer_(context.loop, [this] { pump(); }),
       takeover_timer_(context.loop, [this] { take_over(); }) {
   store_.changed.connect([this](const std::string& job) { on_record(job); });
@@ -76,6 +86,30 @@
 }
 
 void job_service::submit(jobs::job it, std::function<void(submit_outcome)> done) {
+  const duties::member* runner =
+      members_.members().heir(fmt::format("{}/{}", it.route, it.step % steps_at_once));
+  if (runner == nullptr || runner->id == context_.identity.member_id() ||
+      store_.find(it.id) != nullptr) {
+    submit_here(std::move(it), false, std::move(done));
+    return;
+  }
+  const auto job = std::make_shared<jobs::job>(std::move(it));
+  peer_.submit(runner->id, *job,
+               [this, alive = alive_, job, done = std::move(done)](submit_outcome outcome) {
+                 if (!*alive) {
+                   return;
+                 }
+                 if (outcome == submit_outcome::accepted) {
+                   done(outcome);
+                 } else {
+                   // A job is accepted only once, so it does no harm if the other member has it.
+                   submit_here(std::move(*job), outcome == submit_outcome::unknown, done);
+                 }
+               });
+}
+
+void job_service::submit_here(jobs::job it, bool may_exist,
+                              std::function<void(submit_outcome)> done) {
   const auto entry = std::make_shared<submission>();
   entry->record = {.id = it.id,
                    .workspace = it.workspace,
@@ -85,6 +119,7 @@
                    .submitted = it.submitted};
   entry->contents = std::move(it);
   entry->deadline = context_.loop.now() + submit_limit;
+  entry->may_exist = may_exist;
   entry->done = std::move(done);
   try_submit(entry);
 }
@@ -145,21 +180,58 @@
 
 void job_service::read(const std::string& job, std::string_view workspace, std::size_t after,
                        duration wait, std::function<void(result<job_listing>)> done) {
-  with_record(job, workspace,
-              [this, job, after, wait, done = std::move(done)](const result<known_record>& known) {
-                if (!known) {
-                  done(known.error());
-                  return;
-                }
-                const std::size_t total = known.value().record.total;
-                const auto own = runners_.find(job);
-                if (own == runners_.end() || own->second->listed() > after) {
-                  read_stored(job, after, total, after < total ? wait : duration::zero(), done);
-                  return;
-                }
-                // Only this member lists results of the job, so the store has no more of them.
-                waiting_.push_back({job, after, total, context_.loop.now() + wait, done});
-              });
+  with_record(
+      job, workspace,
+      [this, job, after, wait, done = std::move(done)](const result<known_record>& known) {
+        if (!known) {
+          done(known.error());
+          return;
+        }
+        const jobs::job_record& record = known.value().record;
+        const auto from_store = [this, job, after, done](std::size_t total, duration limit) {
+          read_stored(job, after, total, after < total ? limit : duration::zero(), done);
+        };
+        if (record.ended) {
+          from_store(record.total, wait);
+          return;
+        }
+        // Only the runner lists results of the job, so the store has no more of them.
+        const auto take = [from_store, total = record.total, done](std::optional<job_listing> it) {
+          if (it) {
+            done(*std::move(it));
+          } else {
+            from_store(total, duration::zero());
+          }
+        };
+        if (record.runner == context_.identity.member_id()) {
+          read_here(job, after, wait, take);
+        } else {
+          peer_.read(record.runner, job, after, wait, take);
+        }
+      });
+}
+
+void job_service::read_here(const std::string& job, std::size_t after, duration wait,
+                            std::function<void(std::optional<job_listing>)> done) {
+  const time_point now = context_.loop.now();
+  const auto own = runners_.find(job);
+  // Without a valid lease another member may run the job, and have listed more.
+  if (own == runners_.end() || !members_.is_member(now)) {
+    done(std::nullopt);
+    return;
+  }
+  const std::size_t total = own->second->contents().items.size();
+  if (own->second->listed() <= after && after < total && wait > duration::zero()) {
+    waiting_.push_back({job, after, now + wait, std::move(done)});
+    return;
+  }
+  auto results = own->second->results(after);
+  if (!results) {
+    done(std::nullopt);
+    return;
+  }
+  const std::size_t next = after + results->size();
+  done(job_listing{total, next, *std::move(results)});
 }
 
 void job_service::read_stored(const std::string& job, std::size_t after, std::size_t total,
@@ -197,12 +269,7 @@
     return true;
   });
   for (waiting_read& it : due) {
-    const auto own = runners_.find(it.job);
-    if (own != runners_.end() && own->second->listed() <= it.after) {
-      it.done(job_listing{it.total, it.after, {}});
-    } else {
-      read_stored(it.job, it.after, it.total, duration::zero(), std::move(it.done));
-    }
+    read_here(it.job, it.after, duration::zero(), std::move(it.done));
   }
 }
 
--- a/libs/instance/job_service.h
+++ b/libs/instance/job_service.h
@@ -11,27 +11,13 @@
 
 #include "base/result.h"
 #include "instance/instance_context.h"
+#include "instance/job_peer.h"
 #include "instance/job_runner.h"
 #include "instance/job_store.h"
 #include "instance/member_task.h"
 
 namespace boragedoor::instance {
 
-/// Results of a job from a position on.
-struct job_listing {
-  std::size_t total = 0;
-  std::size_t next = 0;
-  std::vector<jobs::item_result> results;
-};
-
-enum class submit_outcome {
-  accepted,
-  /// Certainly not accepted; it may be submitted again.
-  refused,
-  /// Not known; the same job may be submitted again.
-  unknown,
-};
-
 /// Takes, runs and answers for batch jobs. Any instance answers for any job; one runs it.
 class job_service {
 public:
@@ -43,7 +29,7 @@
   job_service& operator=(job_service&&) = delete;
 
   void start();
-  void set_instances(std::size_t n) { store_.set_instances(n); }
+  void set_watch_pause(duration pause) { store_.set_watch_pause(pause); }
   /// Takes no more jobs over; those that run go on.
   void drain() { draining_ = true; }
   /// Stops running jobs and hands them to other members.
@@ -63,6 +49,9 @@
   void end(const std::string& job, std::string_view workspace,
            std::function<void(result<void>)> done);
 
+  /// Answers a call of another instance. False: the call is not one about jobs.
+  bool answer(const std::shared_ptr<http1::exchange>& from) { return peer_.answer(from); }
+
   /// Items of all jobs, on any instance, that have not ended and are not long overdue.
   [[nodiscard]] int open_items() const;
   [[nodiscard]] std::size_t running_jobs() const { return runners_.size(); }
@@ -73,16 +62,19 @@
   struct waiting_read {
     std::string job;
     std::size_t after = 0;
-    std::size_t total = 0;
     time_point until{};
-    std::function<void(result<job_listing>)> done;
+    std::function<void(std::optional<job_listing>)> done;
   };
 
+  void submit_here(jobs::job it, bool may_exist, std::function<void(submit_outcome)> done);
   void try_submit(const std::shared_ptr<submission>& it);
   void with_record(const std::string& job, std::string_view workspace,
                    std::function<void(result<known_record>)> done);
   void read_stored(const std::string& job, std::size_t after, std::size_t total, duration wait,
                    std::function<void(result<job_listing>)> done);
+  /// Reads from a job that runs here; no listing if it does not, or only the store has the results.
+  void read_here(const std::string& job, std::size_t after, duration wait,
+                 std::function<void(std::optional<job_listing>)> done);
   void answer_waiting(time_point now);
   void end_known(const known_record& known, int attempts_left,
                  const std::function<void(result<void>)>& done);
@@ -95,6 +87,7 @@
   instance_context& context_;
   member_task& members_;
   job_store store_;
+  job_peer peer_;
   std::map<std::string, std::unique_ptr<job_runner>, std::less<>> runners_;
   /// Jobs that are being loaded or taken over.
   std::map<std::string, time_point, std::less<>> loading_;
--- a/libs/instance/job_store.h
+++ b/libs/instance/job_store.h
@@ -57,7 +57,7 @@
 
   void start() { watch_.start(); }
   /// Adapts the pauses of the watch to the number of instances.
-  void set_instances(std::size_t n) { watch_.set_pause(watch_pause_for(n)); }
+  void set_watch_pause(duration pause) { watch_.set_pause(pause); }
   [[nodiscard]] const std::map<std::string, known_record, std::less<>>& records() const {
     return records_;
   }
--- a/libs/instance/member_task.cpp
+++ b/libs/instance/member_task.cpp
@@ -18,7 +18,7 @@
 constexpr duration tick_interval = milliseconds(100);
 constexpr duration claim_retry = milliseconds(300);
 constexpr duration watch_wait = seconds(10);
-constexpr duration watch_pause = milliseconds(200);
+constexpr duration first_watch_pause = milliseconds(200);
 
 } // namespace
 
@@ -27,7 +27,7 @@
     : context_(context), address_(std::move(address)), relay_(std::move(relay)),
       lease_ttl_(lease_ttl),
       watch_(context.loop, context.store, std::string(member_prefix),
-             {.wait = watch_wait, .pause = watch_pause},
+             {.wait = watch_wait, .pause = first_watch_pause},
              {.on_put =
                   [this](const stored_item& it) {
                     auto decoded = duties::member_from_document(it.value);
@@ -43,7 +43,7 @@
                   [this](const std::string& key) { members_.remove(key, context_.loop.now()); },
               .on_synced =
                   [this] {
-                    watch_.set_pause(watch_pause_for(members_.watchers()));
+                    watch_.set_pause(watch_pause());
                     changed.emit();
                   },
               .on_reachable = nullptr}),
@@ -102,6 +102,10 @@
   return list;
 }
 
+duration member_task::watch_pause() const {
+  return watch_pause_for(role(), members_.all().size());
+}
+
 watch_role member_task::role() const {
   const duties::member* watcher = members_.watcher_of(context_.identity.data_centre);
   if (watcher == nullptr) {
--- a/libs/instance/member_task.h
+++ b/libs/instance/member_task.h
@@ -45,6 +45,8 @@
   [[nodiscard]] std::vector<net::address> relays() const;
   /// How this process is to follow the store.
   [[nodiscard]] watch_role role() const;
+  /// Pause of this process between the answer to a watch and the next one.
+  [[nodiscard]] duration watch_pause() const;
   [[nodiscard]] const duties::member_table& members() const { return members_; }
   [[nodiscard]] time_point watching_since() const { return watching_since_; }
   /// The permit if this process holds the duties now.
--- a/libs/instance/prefix_watch.cpp
+++ b/libs/instance/prefix_watch.cpp
@@ -6,16 +6,6 @@
 
 namespace boragedoor::instance {
 
-namespace {
-
-/// The longest pause keeps the news that an endpoint drains within half of the two seconds after
-/// which it must get no more requests.
-constexpr duration pause_per_instance = milliseconds(30);
-constexpr duration least_pause = milliseconds(100);
-constexpr duration longest_pause = seconds(1);
-
-} // namespace
-
 prefix_watch::prefix_watch(net::event_loop& loop, durable_store& store, std::string prefix,
                            const prefix_watch_options& options, observer seen)
     : loop_(loop), store_(store), prefix_(std::move(prefix)), options_(options),
@@ -25,11 +15,6 @@
   *alive_ = false;
 }
 
-duration watch_pause_for(std::size_t instances) {
-  return std::clamp(pause_per_instance * static_cast<duration::rep>(instances), least_pause,
-                    longest_pause);
-}
-
 void prefix_watch::start() {
   started_ = true;
   list({});
--- a/libs/instance/prefix_watch.h
+++ b/libs/instance/prefix_watch.h
@@ -12,10 +12,6 @@
 
 namespace boragedoor::instance {
 
-/// Pause between an answer and the next call. Each change of a watched key costs one call an
-/// instance, so the more instances there are, the more changes share a call.
-duration watch_pause_for(std::size_t instances);
-
 /// Wait of watches whose news must be known soon: keys, routes and draining endpoints. A watch that
 /// was sent just before a cut link healed may have been lost with it. It must end, with its slack,
 /// within the three seconds after which the instance counts as connected again, so that the two
--- a/libs/instance/shared_store.cpp
+++ b/libs/instance/shared_store.cpp
@@ -33,6 +33,14 @@
 constexpr duration longest_unconfirmed = milliseconds(2600);
 static_assert(longest_unconfirmed <= longest_lost_watch);
 
+/// Pauses between two watches. The longest keeps the news that an endpoint drains within half of
+/// the two seconds after which it must get no more requests, and the sum of a watching instance's
+/// pause and a follower's is below it.
+constexpr duration pause_per_instance = milliseconds(30);
+constexpr duration least_pause = milliseconds(100);
+constexpr duration longest_pause = seconds(1);
+constexpr duration serving_pause = milliseconds(400);
+
 constexpr int ok = 200;
 constexpr int gone = 410;
 constexpr int not_serving = 503;
@@ -57,8 +65,26 @@
   return {ok, {{"Content-Type", "application/cbor"}}, to_message(it)};
 }
 
+duration pause_of(const watch_directly& /*role*/, std::size_t instances) {
+  return std::clamp(pause_per_instance * static_cast<duration::rep>(instances), least_pause,
+                    longest_pause);
+}
+
+duration pause_of(const watch_for_others& /*role*/, std::size_t /*instances*/) {
+  return serving_pause;
+}
+
+duration pause_of(const watch_through& /*role*/, std::size_t /*instances*/) {
+  // These calls go to another instance and cost the store nothing.
+  return least_pause;
+}
+
 } // namespace
 
+duration watch_pause_for(const watch_role& role, std::size_t instances) {
+  return std::visit([instances](const auto& it) { return pause_of(it, instances); }, role);
+}
+
 shared_store::shared_store(net::event_loop& loop, durable_store& store,
                            std::vector<std::string> prefixes)
     : loop_(loop), store_(store), calls_(loop) {
--- a/libs/instance/shared_store.h
+++ b/libs/instance/shared_store.h
@@ -33,6 +33,11 @@
 };
 using watch_role = std::variant<watch_directly, watch_for_others, watch_through>;
 
+/// Pause between the answer to a watch and the next one. Each change of a watched key costs the
+/// store one call an instance that watches it, so the more such instances there are, the more
+/// changes share a call.
+duration watch_pause_for(const watch_role& role, std::size_t instances);
+
 /// The store, with the lists and watches of some prefixes shared between instances. All other calls
 /// go to the store as they are.
 ///
--- a/tests/duties/member_table_test.cpp
+++ b/tests/duties/member_table_test.cpp
@@ -64,6 +64,28 @@
     }
   }
 
+  SECTION("the oldest of a data centre watches the store for it once there are enough others") {
+    // Pattern: 16 instances a data centre follow the same keys.
+    for (std::size_t n = 1; n < member_table::least_shared; ++n) {
+      table.put(fmt::format("k{}", n), make_member(fmt::format("m{}", n), 20 - n, "dc-9"));
+    }
+    table.put("far", make_member("far", 1, "dc-2"));
+    CHECK(table.watcher_of("dc-9") == nullptr);
+    table.put("k9", make_member("m9", 30, "dc-9"));
+    REQUIRE(table.watcher_of("dc-9") != nullptr);
+    CHECK(table.watcher_of("dc-9")->instance == "m4");
+    CHECK(table.watcher_of("dc-2") == nullptr);
+
+    // One that drains is replaced before it leaves; with too few left each watches for itself.
+    member drains = make_member("m4", 16, "dc-9");
+    drains.draining = true;
+    table.put("k4", drains);
+    CHECK(table.watcher_of("dc-9") == nullptr);
+    table.put("k10", make_member("m10", 31, "dc-9"));
+    REQUIRE(table.watcher_of("dc-9") != nullptr);
+    CHECK(table.watcher_of("dc-9")->instance == "m3");
+  }
+
   SECTION("work is taken over only from members that stay away") {
     // Leases lapse while the store is down; their holders are back soon after its return.
     CHECK_FALSE(table.is_gone("a/boot", start, start + seconds(60)));
--- /dev/null
+++ b/tests/jobs/listed_results_test.cpp
@@ -0,0 +1,73 @@
+#include "jobs/listed_results.h"
+
+#include <catch2/catch.hpp>
+
+#include "jobs/group_tally.h"
+#include "jobs/listing_schedule.h"
+
+namespace boragedoor::jobs {
+
+namespace {
+
+std::vector<item_result> make_results(const std::vector<std::string>& ids, std::size_t bytes) {
+  std::vector<item_result> list;
+  for (const std::string& id : ids) {
+    list.push_back({id, item_state::done, std::string(bytes, 'x'), {1}, "s"});
+  }
+  return list;
+}
+
+} // namespace
+
+// Guards against readers that get other results, or none, for a position that was read before.
+TEST_CASE("listed results are read from their runner") {
+  listed_results listed(2, 100);
+  CHECK(listed.end() == 2);
+  listed.append(make_results({"a", "b", "c"}, 20));
+  CHECK(listed.end() == 5);
+
+  SECTION("by position, in pages") {
+    REQUIRE(listed.read(2, 1000));
+    CHECK(listed.read(2, 1000)->size() == 3);
+    CHECK(listed.read(4, 1000)->at(0).id == "c");
+    CHECK(listed.read(5, 1000)->empty());
+    CHECK(listed.read(2, 45)->size() == 2);
+    // A result that is larger than a page still gets out.
+    CHECK(listed.read(2, 1)->size() == 1);
+  }
+  SECTION("but those of an earlier runner only from the store") {
+    CHECK_FALSE(listed.read(1, 1000));
+  }
+  SECTION("and the oldest leave memory first") {
+    listed.append(make_results({"d", "e", "f"}, 20));
+    CHECK(listed.end() == 8);
+    CHECK_FALSE(listed.read(2, 1000));
+    CHECK(listed.read(3, 1000)->size() == 5);
+  }
+}
+
+TEST_CASE("groups are complete with their last item") {
+  std::vector<job_item> items(5);
+  for (std::size_t n = 0; n < items.size(); ++n) {
+    items[n].group = std::string(1, n < 3 ? 'g' : 'h');
+  }
+  group_tally tally(items);
+  CHECK(tally.groups() == 2);
+  tally.finish(3);
+  CHECK_FALSE(tally.is_complete(4));
+  tally.finish(4);
+  CHECK(tally.is_complete(3));
+  CHECK_FALSE(tally.is_complete(0));
+  CHECK(tally.complete_groups() == 1);
+}
+
+TEST_CASE("a reader that takes any result gets it soon") {
+  const time_point start{seconds(10)};
+  const listing_schedule schedule(start);
+  const unlisted_results partial{.any = true, .oldest = start, .whole_group = false};
+  CHECK_FALSE(schedule.is_due({}, false, false, seconds(5), start));
+  CHECK_FALSE(schedule.is_due(partial, false, false, seconds(5), start + milliseconds(999)));
+  CHECK(schedule.is_due(partial, false, false, seconds(5), start + seconds(1)));
+}
+
+} // namespace boragedoor::jobs
