Order engines for all models together; let loads at a time follow their duration

Cause: the cap on engines divided the loads by the number of models, though an engine that is fresh for one model is of use, so grown sites kept 38 engines for 384 texts at once, and models waited for each other's places.

Change: the cap counts an engine once for each load of any model in two versions, with as many loads at a time as the schedule allows. That number starts at 0.22 of the engines, as before, and falls by one when loads take longer than 1.3 s, because more engines are not served faster.

--- a/libs/duties/replica_plan.cpp
+++ b/libs/duties/replica_plan.cpp
@@ -28,15 +28,13 @@
   interval_ = interval_ == duration::zero() ? passed : interval_ + (passed - interval_) / smoothing;
 }
 
-int replica_plan::engines_kept_fresh() const {
+int replica_plan::engines_kept_fresh(int loads_at_once) const {
   const duration interval = interval_ == duration::zero() ? options_.version_interval : interval_;
-  const auto loads = static_cast<int>(options_.loads_at_once * interval / options_.load_time);
-  // All models share the loads, and each engine takes part at every second version.
-  const int models = std::max(1, static_cast<int>(named_.size()));
-  return 2 * loads / models;
+  // Each load keeps an engine of use to one model for two versions of it.
+  return 2 * static_cast<int>(loads_at_once * interval / options_.load_time);
 }
 
-std::vector<replica_order> replica_plan::wanted(const replica_bounds& of) {
+std::vector<replica_order> replica_plan::wanted(const replica_bounds& of, int loads_at_once) {
   int items = 0;
   for (const demand& it : demands_) {
     items = std::max(items, it.items);
@@ -47,8 +45,8 @@
   }
   int& most_present = most_present_[of.service];
   most_present = std::max(most_present, present);
-  const int needed =
-      std::min((items + of.places - 1) / of.places, std::max(most_present, engines_kept_fresh()));
+  const int needed = std::min((items + of.places - 1) / of.places,
+                              std::max(most_present, engines_kept_fresh(loads_at_once)));
   std::vector<replica_order> list;
   int left = needed;
   int centres = static_cast<int>(of.present.size());
@@ -62,13 +60,13 @@
 }
 
 std::vector<replica_order> replica_plan::decide(const std::vector<replica_bounds>& services,
-                                                time_point now) {
+                                                int loads_at_once, time_point now) {
   std::vector<replica_order> orders;
   if (demands_.empty()) {
     return orders;
   }
   for (const replica_bounds& of : services) {
-    for (replica_order& it : wanted(of)) {
+    for (replica_order& it : wanted(of, loads_at_once)) {
       const auto present = of.present.find(it.data_centre);
       const auto [last, first] =
           placed_.try_emplace({it.service, it.data_centre}, placed{present->second, now});
--- a/libs/duties/replica_plan.h
+++ b/libs/duties/replica_plan.h
@@ -34,8 +34,7 @@
 struct replica_plan_options {
   /// Fewer engines are ordered only once less than they carry was asked for so long.
   duration shrink_delay = seconds(60);
-  /// Engines that load weights at the same time, and how long one takes.
-  int loads_at_once = 2;
+  /// How long an engine loads weights.
   duration load_time = seconds(1);
   /// Time between two versions of a model until it is measured.
   duration version_interval = seconds(4);
@@ -61,7 +60,9 @@
   void note_version(std::string_view model, time_point now);
 
   /// The orders to send now; they are taken for sent.
-  std::vector<replica_order> decide(const std::vector<replica_bounds>& services, time_point now);
+  /// `loads_at_once` engines may load weights at the same time.
+  std::vector<replica_order> decide(const std::vector<replica_bounds>& services, int loads_at_once,
+                                    time_point now);
   /// The order was refused or got no answer; it is sent again.
   void failed(const replica_order& it);
 
@@ -74,8 +75,8 @@
     int count = 0;
     time_point since{};
   };
-  [[nodiscard]] int engines_kept_fresh() const;
-  [[nodiscard]] std::vector<replica_order> wanted(const replica_bounds& of);
+  [[nodiscard]] int engines_kept_fresh(int loads_at_once) const;
+  [[nodiscard]] std::vector<replica_order> wanted(const replica_bounds& of, int loads_at_once);
 
   replica_plan_options options_;
   std::deque<demand> demands_;
--- a/libs/duties/weight_schedule.cpp
+++ b/libs/duties/weight_schedule.cpp
@@ -84,11 +84,12 @@
                                                 time_point now) {
   std::erase_if(loading_,
                 [&](const auto& it) { return now - it.second.since >= options_.load_timeout; });
-  const auto by_share =
-      static_cast<std::size_t>(options_.share_at_once * static_cast<double>(engines.size()));
-  const std::size_t most = std::max(options_.least_at_once, by_share);
+  if (at_once_ == 0 && !newest_.empty()) {
+    // Not before a version is named: by then all engines are known.
+    at_once_ = options_.share_at_once * static_cast<double>(engines.size());
+  }
   std::vector<load_order> orders;
-  while (loading_.size() < most) {
+  while (loading_.size() < most_at_once()) {
     auto order = next_load(engines, now);
     if (!order) {
       break;
@@ -104,12 +105,25 @@
   return it != loading_.end() && it->second.order.model == model;
 }
 
-void weight_schedule::loaded(std::string_view engine, std::string_view model,
-                             std::uint64_t version) {
+std::size_t weight_schedule::most_at_once() const {
+  return std::max(options_.least_at_once, static_cast<std::size_t>(at_once_));
+}
+
+void weight_schedule::loaded(std::string_view engine, std::string_view model, std::uint64_t version,
+                             time_point now) {
   const auto it = loading_.find(engine);
-  if (it != loading_.end() && it->second.order.model == model &&
-      version >= it->second.order.version) {
-    loading_.erase(it);
+  if (it == loading_.end() || it->second.order.model != model ||
+      version < it->second.order.version) {
+    return;
+  }
+  const time_point since = it->second.since;
+  loading_.erase(it);
+  if (now - since <= options_.slow_load) {
+    at_once_ += options_.growth;
+  } else if (since > last_slowed_) {
+    // Loads that began before the last step down say nothing about the present number.
+    at_once_ -= 1;
+    last_slowed_ = now;
   }
 }
 
--- a/libs/duties/weight_schedule.h
+++ b/libs/duties/weight_schedule.h
@@ -35,9 +35,15 @@
   /// Once a version has been the newest for so long, all engines load it: no step is about to
   /// begin.
   duration catch_up_after = seconds(10);
-  /// Engines that load at the same time; more slow each other down.
+  /// Engines that load at the same time at first. More than the weight store serves at full speed
+  /// slow each other down, so the number then follows the time that loads take.
   std::size_t least_at_once = 2;
   double share_at_once = 0.22;
+  /// A load takes 0.9 s and is seen in reports about 0.2 s later. Loads that take longer than this
+  /// slow each other down.
+  duration slow_load = milliseconds(1300);
+  /// Growth of the number with each load that was not slow.
+  double growth = 0.05;
   /// A load that has not shown by then is ordered again. Loads take about one second.
   duration load_timeout = seconds(4);
   /// Wait after an order that was refused.
@@ -66,7 +72,10 @@
   /// The orders to send now; they are taken for sent.
   std::vector<load_order> decide(const std::vector<engine_state>& engines, time_point now);
   /// The engine holds the version, by its own word.
-  void loaded(std::string_view engine, std::string_view model, std::uint64_t version);
+  void loaded(std::string_view engine, std::string_view model, std::uint64_t version,
+              time_point now);
+  /// Engines that may load at the same time.
+  [[nodiscard]] std::size_t most_at_once() const;
   /// The order was refused or got no answer: the engine is tried again after a delay.
   void failed(std::string_view engine, time_point now);
   [[nodiscard]] bool is_loading(std::string_view engine) const { return loading_.contains(engine); }
@@ -102,6 +111,9 @@
   };
   std::map<std::string, named, std::less<>> newest_;
   std::map<std::string, load, std::less<>> loading_;
+  /// Engines that may load at the same time; 0 until a version is named.
+  double at_once_ = 0;
+  time_point last_slowed_{};
   std::map<std::string, time_point, std::less<>> not_before_;
 };
 
--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -41,10 +41,15 @@
 job_service::job_service(instance_context& context, member_task& members)
     : context_(context), members_(members), store_(context),
       peer_(context.loop, members,
-            {.read = [this](const std::string& job, std::size_t after, duration wait,
-                            auto done) { read_here(job, after, wait, std::move(done)); },
-             .submit = [this](jobs::job it,
-                              auto done) { submit_here(std::move(it), false, std::move(done)); }}),
+            {.read =
+                 [this](const std::string& job, std::size_t after, duration wait,
+                        std::function<void(std::optional<job_listing>)> done) {
+                   read_here(job, after, wait, std::move(done));
+                 },
+             .submit =
+                 [this](jobs::job it, std::function<void(submit_outcome)> done) {
+                   submit_here(std::move(it), false, std::move(done));
+                 }}),
       pump_timer_(context.loop, [this] { pump(); }),
       takeover_timer_(context.loop, [this] { take_over(); }) {
   store_.changed.connect([this](const std::string& job) { on_record(job); });
--- a/libs/instance/replica_task.cpp
+++ b/libs/instance/replica_task.cpp
@@ -12,9 +12,9 @@
 } // namespace
 
 replica_task::replica_task(instance_context& context, member_task& members, duty_intake& intake,
-                           std::function<int()> open_items)
+                           std::function<int()> open_items, std::function<int()> loads_at_once)
     : context_(context), members_(members), intake_(intake), open_items_(std::move(open_items)),
-      timer_(context.loop, [this] { tick(); }) {}
+      loads_at_once_(std::move(loads_at_once)), timer_(context.loop, [this] { tick(); }) {}
 
 void replica_task::start() {
   timer_.start_periodic(tick_interval);
@@ -64,7 +64,7 @@
   if (!permit) {
     return;
   }
-  for (const duties::replica_order& order : plan_.decide(services(), now)) {
+  for (const duties::replica_order& order : plan_.decide(services(), loads_at_once_(), now)) {
     send(order, {context_.identity.name, permit->fencing_token});
   }
 }
--- a/libs/instance/replica_task.h
+++ b/libs/instance/replica_task.h
@@ -14,9 +14,10 @@
 /// Orders engines by what jobs ask for, while this process holds the duties.
 class replica_task {
 public:
-  /// `open_items` tells how many items of all jobs are open.
+  /// `open_items` tells how many items of all jobs are open, `loads_at_once` how many engines may
+  /// load weights at the same time.
   replica_task(instance_context& context, member_task& members, duty_intake& intake,
-               std::function<int()> open_items);
+               std::function<int()> open_items, std::function<int()> loads_at_once);
 
   void start();
   void note_version(const named_version& it) { plan_.note_version(it.model, context_.loop.now()); }
@@ -30,6 +31,7 @@
   member_task& members_;
   duty_intake& intake_;
   std::function<int()> open_items_;
+  std::function<int()> loads_at_once_;
   duties::replica_plan plan_;
   /// Data centres in which a service had engines: one that lost all of them is still ordered for.
   std::map<std::string, std::map<std::string, int, std::less<>>, std::less<>> known_centres_;
--- a/libs/instance/weight_task.cpp
+++ b/libs/instance/weight_task.cpp
@@ -81,7 +81,7 @@
   }
   const auto held = report.versions.find(order.model);
   if (held != report.versions.end() && held->second >= order.version) {
-    schedule_.loaded(order.engine, order.model, held->second);
+    schedule_.loaded(order.engine, order.model, held->second, context_.loop.now());
     context_.record(event_number::weights_swapped, {}, order.engine,
                     {{"model", order.model}, {"version", held->second}});
     return;
--- a/libs/instance/weight_task.h
+++ b/libs/instance/weight_task.h
@@ -22,6 +22,8 @@
   weight_task& operator=(weight_task&&) = delete;
 
   void start();
+  /// Engines that may load weights at the same time.
+  [[nodiscard]] int loads_at_once() const { return static_cast<int>(schedule_.most_at_once()); }
   void name(const named_version& it) { schedule_.name(it.model, it.version, context_.loop.now()); }
 
 private:
--- a/tests/duties/replica_plan_test.cpp
+++ b/tests/duties/replica_plan_test.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr time_point start{seconds(100)};
+constexpr int at_once = 2;
 
 replica_bounds make_service(int per_centre) {
   return {.service = "models",
@@ -33,20 +34,20 @@
   std::vector<replica_bounds> services = {make_service(3)};
 
   SECTION("orders nothing before it has seen demand") {
-    CHECK(plan.decide(services, start).empty());
+    CHECK(plan.decide(services, at_once, start).empty());
   }
 
   SECTION("orders places for all items that are open, evenly over the data centres") {
     // Pattern: a step asks for 100 texts at once.
     plan.note_demand(100, start);
-    const auto orders = plan.decide(services, start);
+    const auto orders = plan.decide(services, at_once, start);
     CHECK(total(orders) == 13);
-    CHECK(plan.decide(services, start + seconds(1)).empty());
+    CHECK(plan.decide(services, at_once, start + seconds(1)).empty());
   }
 
   SECTION("orders no more engines than can be kept at fresh weights, and stays within bounds") {
     plan.note_demand(1000, start);
-    const auto orders = plan.decide(services, start);
+    const auto orders = plan.decide(services, at_once, start);
     // Two loads of a second at once in 4 s are 8; each engine loads at every second version.
     CHECK(total(orders) == 16);
     for (const replica_order& it : orders) {
@@ -65,44 +66,56 @@
       const time_point now = start + seconds(n);
       plan.note_version("model-" + std::to_string(n % 4), now);
       plan.note_demand(4 * 56, now);
-      CHECK(plan.decide(services, now).empty());
+      CHECK(plan.decide(services, at_once, now).empty());
     }
     // Endpoints that a crash takes away for a while are not taken for a smaller need.
     services[0].present["dc-1"] = 4;
     plan.note_demand(4 * 56, start + seconds(40));
-    for (const replica_order& it : plan.decide(services, start + seconds(40))) {
+    for (const replica_order& it : plan.decide(services, at_once, start + seconds(40))) {
       CHECK(it.count >= 9);
     }
   }
 
+  SECTION("orders engines for several models, as far as the loads of all of them go") {
+    // Pattern: four trainers ask for 96 texts each at once; eight engines load at a time.
+    services = {make_service(12)};
+    services[0].most = 20;
+    services[0].places = 6;
+    for (int n = 0; n < 4; ++n) {
+      plan.note_version("model-" + std::to_string(n), start);
+    }
+    plan.note_demand(4 * 96, start);
+    CHECK(total(plan.decide(services, 8, start)) == 60);
+  }
+
   SECTION("follows the pace at which versions are named") {
     for (int n = 0; n < 20; ++n) {
       plan.note_version("m", start + seconds(2) * n);
     }
     plan.note_demand(1000, start + seconds(40));
-    CHECK(total(plan.decide(services, start + seconds(40))) <= 9);
+    CHECK(total(plan.decide(services, at_once, start + seconds(40))) <= 9);
   }
 
   SECTION("orders fewer only after a long time of less demand") {
     plan.note_demand(128, start);
-    for (const replica_order& it : plan.decide(services, start)) {
+    for (const replica_order& it : plan.decide(services, at_once, start)) {
       services[0].present[it.data_centre] = it.count;
     }
     plan.note_demand(8, start + seconds(20));
-    CHECK(plan.decide(services, start + seconds(20)).empty());
+    CHECK(plan.decide(services, at_once, start + seconds(20)).empty());
     plan.note_demand(8, start + seconds(61));
     plan.note_demand(8, start + seconds(95));
-    CHECK_FALSE(plan.decide(services, start + seconds(95)).empty());
+    CHECK_FALSE(plan.decide(services, at_once, start + seconds(95)).empty());
   }
 
   SECTION("repeats an order whose engines stay away or that was refused") {
     plan.note_demand(128, start);
-    const auto orders = plan.decide(services, start);
+    const auto orders = plan.decide(services, at_once, start);
     REQUIRE_FALSE(orders.empty());
     plan.note_demand(128, start + seconds(11));
-    CHECK(plan.decide(services, start + seconds(11)) == orders);
+    CHECK(plan.decide(services, at_once, start + seconds(11)) == orders);
     plan.failed(orders[0]);
-    CHECK(plan.decide(services, start + seconds(12)).size() == 1);
+    CHECK(plan.decide(services, at_once, start + seconds(12)).size() == 1);
   }
 }
 
--- a/tests/duties/weight_schedule_test.cpp
+++ b/tests/duties/weight_schedule_test.cpp
@@ -46,7 +46,7 @@
           for (engine_state& engine : engines) {
             if (engine.id == it.engine) {
               engine.versions["m"] = it.version;
-              schedule.loaded(it.engine, "m", it.version);
+              schedule.loaded(it.engine, "m", it.version, now);
               ++loads[it.engine];
             }
           }
@@ -81,7 +81,7 @@
     time_point now = start + seconds(10);
     for (int second = 0; second < 5; ++second, now += seconds(1)) {
       for (const load_order& it : schedule.decide(engines, now)) {
-        schedule.loaded(it.engine, "m", 2);
+        schedule.loaded(it.engine, "m", 2, now);
         for (engine_state& engine : engines) {
           engine.versions["m"] = engine.id == it.engine ? 2 : engine.versions["m"];
         }
@@ -91,6 +91,25 @@
                       [](const engine_state& it) { return it.versions.at("m") == 2; }));
   }
 
+  SECTION("the number of loads at a time follows the time that they take") {
+    // Pattern: the engines grow from 36 to 60, but the weight store serves only eight at full
+    // speed.
+    engines = make_engines(60, 1);
+    time_point now = start;
+    for (std::uint64_t version = 3; version < 40; ++version) {
+      schedule.name("m", 2 * version, now);
+      const auto orders = schedule.decide(engines, now);
+      const auto n = static_cast<duration::rep>(orders.size());
+      now += milliseconds(200) + std::max(milliseconds(900), milliseconds(900) * n / 8);
+      for (const load_order& it : orders) {
+        schedule.loaded(it.engine, "m", it.version, now);
+      }
+      now += seconds(10);
+    }
+    CHECK(schedule.most_at_once() >= 7);
+    CHECK(schedule.most_at_once() <= 10);
+  }
+
   SECTION("an older name changes nothing") {
     schedule.name("m", 5, start);
     schedule.name("m", 4, start);
@@ -125,7 +144,7 @@
         for (engine_state& engine : engines) {
           if (engine.id == it.engine) {
             engine.versions[it.model] = it.version;
-            schedule.loaded(it.engine, it.model, it.version);
+            schedule.loaded(it.engine, it.model, it.version, now);
           }
         }
       }
