Bound the log lines of an instance and never wait for their reader

Cause: standard output was written blocking, a line a call and without a bound, though the users ask for both.

The daemon's log is as it was.

--- a/libs/events/event_log.h
+++ b/libs/events/event_log.h
@@ -3,11 +3,13 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "base/result.h"
 #include "events/event.h"
+#include "events/line_budget.h"
 
 namespace spdlog {
 class logger;
@@ -15,6 +17,8 @@
 
 namespace boragedoor::events {
 
+class pipe_sink;
+
 /// Where a process writes its events.
 struct event_log_options {
   std::string instance;
@@ -27,6 +31,9 @@
   /// Events kept in memory for `boragedoor timeline`. At about 400 bytes each the default takes
   /// under 4 MB, a small part of the 128 MB that control may use.
   std::size_t capacity = 8192;
+  /// With it, standard output never blocks the process and its lines are bounded; they are
+  /// collected until `flush`. Without it each line is written at once.
+  std::optional<line_budget_options> budget;
 };
 
 /// Records events: keeps the last ones in memory and writes each as a JSON line.
@@ -45,6 +52,10 @@
   /// Returns the event's id, for use as the cause of later events; empty when it was filtered.
   std::string record(event it);
 
+  /// Writes what was collected for a bounded standard output. Call several times a second; warnings
+  /// and errors are written at once.
+  void flush();
+
   /// The events kept in memory with a sequence above `after`, oldest first.
   [[nodiscard]] std::vector<event> recent(std::uint64_t after = 0) const;
 
@@ -52,10 +63,17 @@
   [[nodiscard]] std::uint64_t evicted() const { return evicted_; }
 
 private:
-  event_log(event_log_options options, std::shared_ptr<spdlog::logger> logger);
+  event_log(event_log_options options, std::shared_ptr<spdlog::logger> logger,
+            std::shared_ptr<pipe_sink> bounded);
+  void write(const event& it, severity level);
 
   event_log_options options_;
   std::shared_ptr<spdlog::logger> logger_;
+  /// The sink of a bounded standard output; empty for other outputs.
+  std::shared_ptr<pipe_sink> bounded_;
+  line_budget budget_;
+  /// Lines that were left out and not told of yet.
+  std::uint64_t dropped_ = 0;
   std::deque<event> buffer_;
   std::uint64_t sequence_ = 0;
   std::uint64_t evicted_ = 0;
