Continue the texts of an ended step in the next one

Cause: a trainer goes on without the group that has the longest texts, and asks for it again in its next step, which must wait for it.

Change: the end of a job goes to its runner, which keeps the texts in the making (carried_texts) and gives them to the instance of the next step. They are used where all their versions fit the new step. A step that is not complete is listed 250 ms after it is due rather than at once, because most are complete by then.

--- a/libs/events/event_log.h
+++ b/libs/events/event_log.h
@@ -33,7 +33,7 @@
   std::size_t capacity = 8192;
   /// With it, standard output never blocks the process and its lines are bounded; they are
   /// collected until `flush`. Without it each line is written at once.
-  std::optional<line_budget_options> budget;
+  std::optional<line_budget_options> budget = std::nullopt;
 };
 
 /// Records events: keeps the last ones in memory and writes each as a JSON line.
--- a/libs/instance/job_peer.cpp
+++ b/libs/instance/job_peer.cpp
@@ -18,6 +18,8 @@
 
 constexpr std::string_view read_path = "/jobs/results";
 constexpr std::string_view submit_path = "/jobs";
+constexpr std::string_view end_path = "/jobs/end";
+constexpr std::string_view texts_path = "/jobs/texts";
 
 constexpr duration connect_timeout = milliseconds(300);
 /// What a call may take beside its wait. Readers allow 1.5 s more than they ask to wait, and the
@@ -27,6 +29,10 @@
 /// seconds.
 constexpr duration submit_limit = milliseconds(1500);
 
+/// The end of a job is in the store within milliseconds; the caller waits for it and may have to
+/// ask the store itself.
+constexpr duration end_limit = milliseconds(600);
+
 constexpr int ok = 200;
 constexpr int accepted = 202;
 constexpr int not_here = 404;
@@ -152,12 +158,57 @@
   calls_.send(std::move(spec), std::move(callbacks));
 }
 
+void job_peer::end(std::string_view member, const std::string& job,
+                   std::function<void(bool)> done) {
+  const auto at = address_of(member);
+  if (!at) {
+    done(false);
+    return;
+  }
+  http1::call_spec spec;
+  spec.target = *at;
+  spec.message = {"POST",
+                  fmt::format("{}?job={}", end_path, net::encode_component(job)),
+                  {{"Host", net::to_string(*at)}},
+                  {}};
+  spec.connect_timeout = connect_timeout;
+  spec.progress_timeout = end_limit;
+  http1::call_callbacks callbacks;
+  callbacks.on_end = [done = std::move(done)](http1::call_outcome outcome,
+                                              const http1::response& it) {
+    done(outcome == http1::call_outcome::complete && it.status == ok);
+  };
+  calls_.send(std::move(spec), std::move(callbacks));
+}
+
+void job_peer::carry(std::string_view member, std::span<const jobs::item_progress> texts) {
+  const auto at = address_of(member);
+  if (!at) {
+    return;
+  }
+  http1::call_spec spec;
+  spec.target = *at;
+  spec.message = {
+      "POST", std::string(texts_path), {{"Host", net::to_string(*at)}}, jobs::to_document(texts)};
+  spec.connect_timeout = connect_timeout;
+  spec.progress_timeout = end_limit;
+  http1::call_callbacks callbacks;
+  callbacks.on_end = [](http1::call_outcome /*outcome*/, const http1::response& /*it*/) {
+    // Without them the next step makes the texts anew.
+  };
+  calls_.send(std::move(spec), std::move(callbacks));
+}
+
 bool job_peer::answer(const std::shared_ptr<http1::exchange>& from) {
   const std::string_view path = http1::path_of(from->received().target);
   if (path == read_path) {
     answer_read(from);
   } else if (path == submit_path) {
     answer_submission(from);
+  } else if (path == end_path) {
+    answer_end(from);
+  } else if (path == texts_path) {
+    answer_texts(from);
   } else {
     return false;
   }
@@ -190,4 +241,19 @@
   });
 }
 
+void job_peer::answer_end(const std::shared_ptr<http1::exchange>& from) {
+  own_.end(http1::query_parameter(from->received().target, "job").value_or(std::string()),
+           [from](bool ended) {
+             from->respond({ended ? ok : refused, {}, {}});
+           });
+}
+
+void job_peer::answer_texts(const std::shared_ptr<http1::exchange>& from) {
+  auto texts = jobs::progress_from_document(from->received().body);
+  if (texts) {
+    own_.carry(std::move(texts).value());
+  }
+  from->respond({texts ? ok : refused, {}, {}});
+}
+
 } // namespace boragedoor::instance
--- a/libs/instance/job_peer.h
+++ b/libs/instance/job_peer.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -40,6 +41,10 @@
                        std::function<void(std::optional<job_listing>)> done)>
         read;
     std::function<void(jobs::job it, std::function<void(submit_outcome)> done)> submit;
+    /// Ends a job that runs here; false if it does not, or if that is not stored.
+    std::function<void(const std::string& job, std::function<void(bool)> done)> end;
+    /// Takes texts of a step that has ended, for the next one.
+    std::function<void(std::vector<jobs::item_progress> texts)> carry;
   };
 
   job_peer(net::event_loop& loop, member_task& members, service own);
@@ -50,6 +55,10 @@
   /// Submits a job through a member. `unknown` if it does not answer.
   void submit(std::string_view member, const jobs::job& it,
               std::function<void(submit_outcome)> done);
+  /// Ends a job through the member that runs it; false if it does not answer or does not run it.
+  void end(std::string_view member, const std::string& job, std::function<void(bool)> done);
+  /// Gives texts to a member. They only save time, so an answer is not waited for.
+  void carry(std::string_view member, std::span<const jobs::item_progress> texts);
   /// Answers a call of another instance. False: the call is not one of those.
   bool answer(const std::shared_ptr<http1::exchange>& from);
 
@@ -57,6 +66,8 @@
   [[nodiscard]] std::optional<net::address> address_of(std::string_view member) const;
   void answer_read(const std::shared_ptr<http1::exchange>& from);
   void answer_submission(const std::shared_ptr<http1::exchange>& from);
+  void answer_end(const std::shared_ptr<http1::exchange>& from);
+  void answer_texts(const std::shared_ptr<http1::exchange>& from);
 
   member_task& members_;
   http1::client calls_;
--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -49,6 +49,12 @@
              .submit =
                  [this](jobs::job it, std::function<void(submit_outcome)> done) {
                    submit_here(std::move(it), false, std::move(done));
+                 },
+             .end = [this](const std::string& job,
+                           std::function<void(bool)> done) { end_here(job, std::move(done)); },
+             .carry =
+                 [this](const std::vector<jobs::item_progress>& texts) {
+                   carried_.add(texts, context_.loop.now());
                  }}),
       pump_timer_(context.loop, [this] { pump(); }),
       takeover_timer_(context.loop, [this] { take_over(); }) {
@@ -90,9 +96,12 @@
   return static_cast<int>(n);
 }
 
+const duties::member* job_service::runner_of(std::string_view route, std::uint64_t step) const {
+  return members_.members().heir(fmt::format("{}/{}", route, step % steps_at_once));
+}
+
 void job_service::submit(jobs::job it, std::function<void(submit_outcome)> done) {
-  const duties::member* runner =
-      members_.members().heir(fmt::format("{}/{}", it.route, it.step % steps_at_once));
+  const duties::member* runner = runner_of(it.route, it.step);
   if (runner == nullptr || runner->id == context_.identity.member_id() ||
       store_.find(it.id) != nullptr) {
     submit_here(std::move(it), false, std::move(done));
@@ -315,10 +324,49 @@
       done(known.error());
       return;
     }
-    end_known(known.value(), end_attempts, done);
+    const jobs::job_record& record = known.value().record;
+    if (record.ended || record.runner == context_.identity.member_id()) {
+      end_known(known.value(), end_attempts, done);
+      return;
+    }
+    // The runner stops at once and keeps what the next step can use.
+    peer_.end(record.runner, record.id,
+              [this, alive = alive_, known = known.value(), done](bool ended) {
+                if (!*alive) {
+                  return;
+                }
+                if (ended) {
+                  done(success());
+                } else {
+                  end_known(known, end_attempts, done);
+                }
+              });
   });
 }
 
+void job_service::end_here(const std::string& job, std::function<void(bool)> done) {
+  const known_record* known = store_.find(job);
+  if (known == nullptr || known->record.runner != context_.identity.member_id()) {
+    done(false);
+    return;
+  }
+  end_known(*known, end_attempts,
+            [done = std::move(done)](const result<void>& out) { done(out.has_value()); });
+}
+
+void job_service::carry_texts(const job_runner& from) {
+  const std::vector<jobs::item_progress> texts = from.progress();
+  if (texts.empty()) {
+    return;
+  }
+  carried_.add(texts, context_.loop.now());
+  const jobs::job& ended = from.contents();
+  const duties::member* next = runner_of(ended.route, ended.step + 1);
+  if (next != nullptr && next->id != context_.identity.member_id()) {
+    peer_.carry(next->id, texts);
+  }
+}
+
 void job_service::end_known(const known_record& known, int attempts_left,
                             const std::function<void(result<void>)>& done) {
   if (known.record.ended) {
@@ -360,6 +408,9 @@
   }
   const auto [it, added] = runners_.try_emplace(loaded.contents.id);
   if (added) {
+    for (jobs::item_progress& text : carried_.take(loaded.contents, context_.loop.now())) {
+      loaded.begun.push_back(std::move(text));
+    }
     it->second = std::make_unique<job_runner>(context_, store_, std::move(loaded));
     it->second->pump(context_.loop.now());
   }
@@ -390,6 +441,9 @@
   const auto it = runners_.find(job);
   if (it != runners_.end() && (known == nullptr || known->record.ended ||
                                known->record.runner != context_.identity.member_id())) {
+    if (known != nullptr && known->record.ended && !it->second->is_done()) {
+      carry_texts(*it->second);
+    }
     it->second->stop();
   }
 }
--- a/libs/instance/job_service.h
+++ b/libs/instance/job_service.h
@@ -15,6 +15,7 @@
 #include "instance/job_runner.h"
 #include "instance/job_store.h"
 #include "instance/member_task.h"
+#include "jobs/carried_texts.h"
 
 namespace boragedoor::instance {
 
@@ -76,6 +77,12 @@
   void read_here(const std::string& job, std::size_t after, duration wait,
                  std::function<void(std::optional<job_listing>)> done);
   void answer_waiting(time_point now);
+  /// Ends a job that runs here.
+  void end_here(const std::string& job, std::function<void(bool)> done);
+  /// Keeps the texts of a job that has ended here for the next steps of its trainer.
+  void carry_texts(const job_runner& from);
+  /// The member that is to run a step of a trainer.
+  [[nodiscard]] const duties::member* runner_of(std::string_view route, std::uint64_t step) const;
   void end_known(const known_record& known, int attempts_left,
                  const std::function<void(result<void>)>& done);
   void run(loaded_job loaded);
@@ -94,6 +101,7 @@
   /// Jobs with nothing left to run or list, until their trainer ends them.
   std::set<std::string, std::less<>> finished_;
   std::vector<waiting_read> waiting_;
+  jobs::carried_texts carried_;
   net::timer pump_timer_;
   net::timer takeover_timer_;
   bool draining_ = false;
--- /dev/null
+++ b/libs/jobs/carried_texts.cpp
@@ -0,0 +1,62 @@
+#include "jobs/carried_texts.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace boragedoor::jobs {
+
+namespace {
+
+bool fits(const item_progress& text, const job& it) {
+  if (text.versions.empty() || (it.single_version && text.versions.size() > 1)) {
+    return false;
+  }
+  return std::all_of(text.versions.begin(), text.versions.end(),
+                     [&](std::uint64_t version) { return version >= it.minimum_version; });
+}
+
+} // namespace
+
+void carried_texts::add(std::span<const item_progress> texts, time_point now) {
+  for (const item_progress& it : texts) {
+    entry& kept = texts_[it.id];
+    bytes_ -= kept.text.text.size();
+    kept = {it, now};
+    bytes_ += it.text.size();
+  }
+  expire(now);
+}
+
+void carried_texts::expire(time_point now) {
+  const auto drop = [this](auto it) {
+    bytes_ -= it->second.text.text.size();
+    return texts_.erase(it);
+  };
+  for (auto it = texts_.begin(); it != texts_.end();) {
+    it = now - it->second.added >= options_.keep ? drop(it) : std::next(it);
+  }
+  while (bytes_ > options_.most_bytes) {
+    drop(std::min_element(texts_.begin(), texts_.end(), [](const auto& left, const auto& right) {
+      return left.second.added < right.second.added;
+    }));
+  }
+}
+
+std::vector<item_progress> carried_texts::take(const job& it, time_point now) {
+  expire(now);
+  std::vector<item_progress> list;
+  for (const job_item& item : it.items) {
+    const auto found = texts_.find(item.id);
+    if (found == texts_.end()) {
+      continue;
+    }
+    bytes_ -= found->second.text.text.size();
+    if (fits(found->second.text, it)) {
+      list.push_back(std::move(found->second.text));
+    }
+    texts_.erase(found);
+  }
+  return list;
+}
+
+} // namespace boragedoor::jobs
--- a/libs/jobs/listing_schedule.cpp
+++ b/libs/jobs/listing_schedule.cpp
@@ -8,7 +8,7 @@
     return false;
   }
   const bool useful = results.whole_group || now - results.oldest >= options_.partial_delay;
-  if (!waits_for_groups || step_complete || to_due <= duration::zero()) {
+  if (!waits_for_groups || step_complete || to_due <= -options_.due_grace) {
     return useful;
   }
   return useful && now - last_listing_ >= options_.step_interval;
--- a/libs/jobs/listing_schedule.h
+++ b/libs/jobs/listing_schedule.h
@@ -10,6 +10,9 @@
   /// Time between two listings of a step that is neither complete nor due. Trainers read about
   /// twice a second, so most of them are waiting for the next result by then.
   duration step_interval = milliseconds(2500);
+  /// A step that is not complete when it is due is listed this much later. Groups count as in time
+  /// when they are read 0.7 s after that, and most steps that are late are complete sooner.
+  duration due_grace = milliseconds(250);
 };
 
 /// The finished results of a job that are not listed yet.
--- /dev/null
+++ b/tests/jobs/carried_texts_test.cpp
@@ -0,0 +1,66 @@
+#include "jobs/carried_texts.h"
+
+#include <catch2/catch.hpp>
+
+namespace boragedoor::jobs {
+
+namespace {
+
+constexpr time_point start{seconds(100)};
+
+item_progress make_text(const std::string& id, std::vector<std::uint64_t> versions,
+                        std::size_t bytes = 100) {
+  return {id, std::string(bytes, 'x'), 90, std::move(versions)};
+}
+
+job make_job(std::uint64_t minimum_version, const std::vector<std::string>& ids) {
+  job it;
+  it.minimum_version = minimum_version;
+  for (const std::string& id : ids) {
+    it.items.emplace_back().id = id;
+  }
+  return it;
+}
+
+} // namespace
+
+// Guards against steps that make the longest texts of the step before a second time.
+TEST_CASE("texts of a step that has ended go on in the next one") {
+  carried_texts texts({.keep = seconds(20), .most_bytes = 1000});
+  const std::vector<item_progress> left = {make_text("a", {4}), make_text("b", {3, 4}),
+                                           make_text("c", {4, 5})};
+  texts.add(left, start);
+
+  SECTION("where all versions of their weights fit it") {
+    const auto taken = texts.take(make_job(4, {"c", "x", "b", "a"}), start + seconds(1));
+    REQUIRE(taken.size() == 2);
+    CHECK(taken[0].id == "c");
+    CHECK(taken[0].last_event == 90);
+    CHECK(taken[1].id == "a");
+    // What was taken or does not fit is of no use to a later step either.
+    CHECK(texts.size() == 0);
+  }
+  SECTION("and one version only where the step asks for that") {
+    job single = make_job(4, {"a", "c"});
+    single.single_version = true;
+    const auto taken = texts.take(single, start);
+    REQUIRE(taken.size() == 1);
+    CHECK(taken[0].id == "a");
+  }
+  SECTION("but not after a while") {
+    CHECK(texts.take(make_job(3, {"a"}), start + seconds(20)).empty());
+    CHECK(texts.size() == 0);
+  }
+  SECTION("within a bound, the newest") {
+    const std::vector<item_progress> more = {make_text("d", {4}, 900)};
+    texts.add(more, start + seconds(1));
+    CHECK(texts.size() == 2);
+    CHECK(texts.take(make_job(4, {"d"}), start + seconds(1)).size() == 1);
+    // A text that came again replaces the earlier one.
+    texts.add(left, start + seconds(2));
+    texts.add(left, start + seconds(3));
+    CHECK(texts.size() == 3);
+  }
+}
+
+} // namespace boragedoor::jobs
