Run steps at the instances with the most processor time

Change: members name their processor time, and a step, or a job that is taken over, goes to those that have at least 0.7 of the most.

--- a/libs/duties/member_table.cpp
+++ b/libs/duties/member_table.cpp
@@ -16,6 +16,9 @@
 /// caller need not ask again before it can go on.
 constexpr std::size_t enough_members = 2;
 
+/// Members with at least this share of the most processor time count as strong.
+constexpr double strong_share = 0.7;
+
 const member* oldest_of(const std::vector<const member*>& list) {
   const auto it =
       std::min_element(list.begin(), list.end(), [](const member* left, const member* right) {
@@ -37,6 +40,7 @@
                   {"region", it.region},
                   {"address", it.address},
                   {"relay", it.relay},
+                  {"processor", it.processor},
                   {"draining", it.draining}});
 }
 
@@ -53,6 +57,7 @@
       !read_field(from, "draining", it.draining)) {
     return error{error_code::protocol, "the stored member cannot be read"};
   }
+  it.processor = number_field(from, "processor").value_or(it.processor);
   return it;
 }
 
@@ -114,7 +119,12 @@
 }
 
 const member* member_table::heir(std::string_view name) const {
-  const auto list = active();
+  auto list = active();
+  double most = 0;
+  for (const member* it : list) {
+    most = std::max(most, it->processor);
+  }
+  std::erase_if(list, [most](const member* it) { return it->processor < strong_share * most; });
   const auto it =
       std::max_element(list.begin(), list.end(), [name](const member* left, const member* right) {
         return rendezvous_weight(name, left->id) < rendezvous_weight(name, right->id);
--- a/libs/duties/member_table.h
+++ b/libs/duties/member_table.h
@@ -24,6 +24,8 @@
   std::string address;
   /// "host:port" of the listener that relays calls to the store.
   std::string relay;
+  /// Processor time that the instance has, in cores.
+  double processor = 1;
   /// It finishes what it has and takes nothing new.
   bool draining = false;
   /// Revision at which the entry was created; lower is older.
--- a/libs/instance/instance_context.h
+++ b/libs/instance/instance_context.h
@@ -23,6 +23,8 @@
   std::string boot;
   std::string data_centre;
   std::string region;
+  /// Processor time that this instance has, in cores.
+  double processor = 1;
 
   /// Name and start: a restarted process is another member.
   [[nodiscard]] std::string member_id() const { return name + "/" + boot; }
--- a/libs/instance/member_task.cpp
+++ b/libs/instance/member_task.cpp
@@ -187,6 +187,7 @@
                             .region = context_.identity.region,
                             .address = address_,
                             .relay = relay_,
+                            .processor = context_.identity.processor,
                             .draining = draining_};
   call_open_ = true;
   const std::uint64_t lease = lease_;
--- a/tests/duties/member_table_test.cpp
+++ b/tests/duties/member_table_test.cpp
@@ -26,6 +26,7 @@
 TEST_CASE("a member comes back from its document, without the revision that the store knows") {
   member before = make_member("a", 7);
   before.draining = true;
+  before.processor = 0.12;
   auto after = member_from_document(to_document(before));
   REQUIRE(after);
   CHECK(after.value().created == 0);
@@ -64,6 +65,19 @@
     }
   }
 
+  SECTION("work goes to the members with the most processor time, if any have more") {
+    // Pattern: 8 of 62 machines have half a core, the others an eighth, and one step of a trainer
+    // takes about that.
+    for (int n = 0; n < 4; ++n) {
+      member strong = make_member(fmt::format("strong-{}", n), 40);
+      strong.processor = 4;
+      table.put(fmt::format("s{}", n), strong);
+    }
+    for (int n = 0; n < 50; ++n) {
+      CHECK(table.heir(fmt::format("job-{}", n))->processor == 4);
+    }
+  }
+
   SECTION("the oldest of a data centre watches the store for it once there are enough others") {
     // Pattern: 16 instances a data centre follow the same keys.
     for (std::size_t n = 1; n < member_table::least_shared; ++n) {
