--- a/tests/duties/weight_schedule_test.cpp
+++ b/tests/duties/weight_schedule_test.cpp
@@ -139,7 +139,7 @@
     std::size_t fewest = engines.size();
     for (int second = 0; second < 40; ++second, now += seconds(1)) {
       const std::string& named = models[static_cast<std::size_t>(second) % 4];
-      const auto version = static_cast<std::uint64_t>(2 + second / 4);
+      const auto version = 2 + static_cast<std::uint64_t>(second) / 4;
       for (const load_order& it : schedule.decide(engines, now)) {
         for (engine_state& engine : engines) {
           if (engine.id == it.engine) {
