--- /dev/null
+++ b/tests/platform/job_peer_test.cpp
@@ -0,0 +1,170 @@
+#include "instance/job_peer.h"
+
+#include <memory>
+#include <optional>
+
+#include <catch2/catch.hpp>
+
+#include "http1/server.h"
+#include "instance/error_response.h"
+#include "platform/replica_protocol.h"
+#include "platform/store_client.h"
+#include "store_stand_in.h"
+
+namespace boragedoor::platform {
+
+namespace {
+
+using instance::job_listing;
+using instance::submit_outcome;
+
+constexpr duration patience = seconds(10);
+
+/// An instance with its membership and what it answers about jobs.
+struct peer_instance {
+  peer_instance(net::event_loop& loop, const net::address& store, const std::string& name)
+      : server(http1::server::listen(
+                   loop, {"127.0.0.1", 0},
+                   [this](const std::shared_ptr<http1::exchange>& from) {
+                     if (silent) {
+                       held.push_back(from);
+                     } else if (!peer.answer(from)) {
+                       from->respond({500, {}, {}});
+                     }
+                   },
+                   &instance::listener_refusal)
+                   .value()),
+        calls(loop), store_calls(loop, store, [](auto, auto, auto) {}),
+        log(events::event_log::create({.instance = name, .boot = "b", .path = ""}).value()),
+        context{.loop = loop,
+                .calls = calls,
+                .store = store_calls,
+                .protocol = protocol,
+                .log = *log,
+                .metrics = metrics,
+                .identity = {name, "b", "z1", "r1"},
+                .routes = {},
+                .endpoints = dispatch::service_endpoints::create("z1").value(),
+                .random = random_engine(1)},
+        members(context, name + ":80", net::to_string(server->local_address()), seconds(3)),
+        peer(loop, members,
+             {.read =
+                  [this](const std::string& job, std::size_t after, duration /*wait*/,
+                         const std::function<void(std::optional<job_listing>)>& done) {
+                    done(job == "here" ? std::optional(job_listing{3, after + 1, {result}})
+                                       : std::nullopt);
+                  },
+              .submit =
+                  [this](jobs::job it, const std::function<void(submit_outcome)>& done) {
+                    submitted = std::move(it);
+                    done(outcome);
+                  },
+              .end = [](const std::string& job,
+                        const std::function<void(bool)>& done) { done(job == "here"); },
+              .carry = [this](std::vector<jobs::item_progress> it) { texts = std::move(it); }}) {
+    members.start();
+  }
+
+  bool silent = false;
+  std::vector<std::shared_ptr<http1::exchange>> held;
+  jobs::item_result result{"i1", jobs::item_state::done, "text", {4}, "s"};
+  submit_outcome outcome = submit_outcome::accepted;
+  std::optional<jobs::job> submitted;
+  std::vector<jobs::item_progress> texts;
+  std::unique_ptr<http1::server> server;
+  http1::client calls;
+  store_client store_calls;
+  replica_protocol protocol;
+  metrics::registry metrics;
+  std::unique_ptr<events::event_log> log;
+  instance::instance_context context;
+  instance::member_task members;
+  instance::job_peer peer;
+};
+
+} // namespace
+
+// Guards against a call between instances whose failure is taken for an answer: a job lost between
+// two instances, or a reader that is told that a job has no results.
+TEST_CASE("instances call each other about jobs") {
+  auto loop = net::event_loop::create().value();
+  store_stand_in store(*loop);
+  peer_instance asking(*loop, store.address(), "asking");
+  peer_instance other(*loop, store.address(), "other");
+  const std::string id = "other/b";
+  REQUIRE(loop->run_until([&] { return asking.members.members().is_live(id); }, patience));
+
+  const auto read = [&](const std::string& job) {
+    std::optional<std::optional<job_listing>> out;
+    asking.peer.read(id, job, 1, milliseconds(100), [&](auto it) { out = std::move(it); });
+    REQUIRE(loop->run_until([&] { return out.has_value(); }, patience));
+    return *out;
+  };
+  const auto submit = [&](const std::string& member) {
+    jobs::job it;
+    it.id = "j";
+    it.workspace = "north";
+    it.route = "r";
+    it.step = 7;
+    it.items.emplace_back().id = "i1";
+    std::optional<submit_outcome> out;
+    asking.peer.submit(member, it, [&](submit_outcome how) { out = how; });
+    REQUIRE(loop->run_until([&] { return out.has_value(); }, patience));
+    return *out;
+  };
+  const auto end = [&](const std::string& job) {
+    std::optional<bool> out;
+    asking.peer.end(id, job, [&](bool ended) { out = ended; });
+    REQUIRE(loop->run_until([&] { return out.has_value(); }, patience));
+    return *out;
+  };
+
+  SECTION(
+      "a reader gets what the runner lists, and nothing from an instance that does not run it") {
+    const auto listing = read("here");
+    REQUIRE(listing);
+    CHECK(listing->total == 3);
+    CHECK(listing->next == 2);
+    REQUIRE(listing->results.size() == 1);
+    CHECK(listing->results[0].text == "text");
+    CHECK_FALSE(read("elsewhere"));
+  }
+
+  SECTION("a job arrives whole, and its outcome comes back") {
+    CHECK(submit(id) == submit_outcome::accepted);
+    REQUIRE(other.submitted);
+    CHECK(other.submitted->step == 7);
+    CHECK(other.submitted->items.at(0).id == "i1");
+    for (const auto outcome : {submit_outcome::refused, submit_outcome::unknown}) {
+      other.outcome = outcome;
+      CHECK(submit(id) == outcome);
+    }
+  }
+
+  SECTION("the end of a job and its texts reach the runner") {
+    CHECK(end("here"));
+    CHECK_FALSE(end("elsewhere"));
+    const std::vector<jobs::item_progress> texts = {{"i1", "half a text", 90, {4, 5}}};
+    asking.peer.carry(id, texts);
+    REQUIRE(loop->run_until([&] { return !other.texts.empty(); }, patience));
+    CHECK(other.texts[0].text == "half a text");
+    CHECK(other.texts[0].versions == std::vector<std::uint64_t>{4, 5});
+  }
+
+  SECTION("a silent instance has answered nothing") {
+    // Pattern: the runner freezes; what was sent to it may take effect when it wakes.
+    other.silent = true;
+    CHECK_FALSE(read("here"));
+    CHECK(submit(id) == submit_outcome::unknown);
+    CHECK_FALSE(end("here"));
+  }
+
+  SECTION("one that is not a member, or is gone, certainly took nothing") {
+    CHECK(submit("nobody/b") == submit_outcome::refused);
+    other.server.reset();
+    CHECK(submit(id) == submit_outcome::refused);
+    CHECK_FALSE(read("here"));
+  }
+}
+
+} // namespace boragedoor::platform
