Keep carried texts apart by workspace

Cause: carried texts were found by the item's id alone, so a job of another workspace that names the same id would have been given the text.

--- a/libs/instance/job_peer.cpp
+++ b/libs/instance/job_peer.cpp
@@ -181,15 +181,18 @@
   calls_.send(std::move(spec), std::move(callbacks));
 }
 
-void job_peer::carry(std::string_view member, std::span<const jobs::item_progress> texts) {
+void job_peer::carry(std::string_view member, std::string_view workspace,
+                     std::span<const jobs::item_progress> texts) {
   const auto at = address_of(member);
   if (!at) {
     return;
   }
   http1::call_spec spec;
   spec.target = *at;
-  spec.message = {
-      "POST", std::string(texts_path), {{"Host", net::to_string(*at)}}, jobs::to_document(texts)};
+  spec.message = {"POST",
+                  fmt::format("{}?workspace={}", texts_path, net::encode_component(workspace)),
+                  {{"Host", net::to_string(*at)}},
+                  jobs::to_document(texts)};
   spec.connect_timeout = connect_timeout;
   spec.progress_timeout = end_limit;
   http1::call_callbacks callbacks;
@@ -251,7 +254,8 @@
 void job_peer::answer_texts(const std::shared_ptr<http1::exchange>& from) {
   auto texts = jobs::progress_from_document(from->received().body);
   if (texts) {
-    own_.carry(std::move(texts).value());
+    own_.carry(http1::query_parameter(from->received().target, "workspace").value_or(std::string()),
+               std::move(texts).value());
   }
   from->respond({texts ? ok : refused, {}, {}});
 }
--- a/libs/instance/job_peer.h
+++ b/libs/instance/job_peer.h
@@ -44,7 +44,7 @@
     /// Ends a job that runs here; false if it does not, or if that is not stored.
     std::function<void(const std::string& job, std::function<void(bool)> done)> end;
     /// Takes texts of a step that has ended, for the next one.
-    std::function<void(std::vector<jobs::item_progress> texts)> carry;
+    std::function<void(std::string_view workspace, std::vector<jobs::item_progress> texts)> carry;
   };
 
   job_peer(net::event_loop& loop, member_task& members, service own);
@@ -58,7 +58,8 @@
   /// Ends a job through the member that runs it; false if it does not answer or does not run it.
   void end(std::string_view member, const std::string& job, std::function<void(bool)> done);
   /// Gives texts to a member. They only save time, so an answer is not waited for.
-  void carry(std::string_view member, std::span<const jobs::item_progress> texts);
+  void carry(std::string_view member, std::string_view workspace,
+             std::span<const jobs::item_progress> texts);
   /// Answers a call of another instance. False: the call is not one of those.
   bool answer(const std::shared_ptr<http1::exchange>& from);
 
--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -53,8 +53,8 @@
              .end = [this](const std::string& job,
                            std::function<void(bool)> done) { end_here(job, std::move(done)); },
              .carry =
-                 [this](const std::vector<jobs::item_progress>& texts) {
-                   carried_.add(texts, context_.loop.now());
+                 [this](std::string_view workspace, const std::vector<jobs::item_progress>& texts) {
+                   carried_.add(workspace, texts, context_.loop.now());
                  }}),
       pump_timer_(context.loop, [this] { pump(); }),
       takeover_timer_(context.loop, [this] { take_over(); }) {
@@ -359,11 +359,11 @@
   if (texts.empty()) {
     return;
   }
-  carried_.add(texts, context_.loop.now());
   const jobs::job& ended = from.contents();
+  carried_.add(ended.workspace, texts, context_.loop.now());
   const duties::member* next = runner_of(ended.route, ended.step + 1);
   if (next != nullptr && next->id != context_.identity.member_id()) {
-    peer_.carry(next->id, texts);
+    peer_.carry(next->id, ended.workspace, texts);
   }
 }
 
--- a/libs/jobs/carried_texts.cpp
+++ b/libs/jobs/carried_texts.cpp
@@ -17,9 +17,10 @@
 
 } // namespace
 
-void carried_texts::add(std::span<const item_progress> texts, time_point now) {
+void carried_texts::add(std::string_view workspace, std::span<const item_progress> texts,
+                        time_point now) {
   for (const item_progress& it : texts) {
-    entry& kept = texts_[it.id];
+    entry& kept = texts_[{std::string(workspace), it.id}];
     bytes_ -= kept.text.text.size();
     kept = {it, now};
     bytes_ += it.text.size();
@@ -46,7 +47,7 @@
   expire(now);
   std::vector<item_progress> list;
   for (const job_item& item : it.items) {
-    const auto found = texts_.find(item.id);
+    const auto found = texts_.find({it.workspace, item.id});
     if (found == texts_.end()) {
       continue;
     }
--- a/libs/jobs/carried_texts.h
+++ b/libs/jobs/carried_texts.h
@@ -5,6 +5,8 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/time.h"
@@ -29,8 +31,9 @@
 public:
   explicit carried_texts(const carried_texts_options& options = {}) : options_(options) {}
 
-  void add(std::span<const item_progress> texts, time_point now);
-  /// The texts for the items of a new job, as far as the versions of their weights fit it.
+  void add(std::string_view workspace, std::span<const item_progress> texts, time_point now);
+  /// The texts for the items of a new job of the same workspace, as far as the versions of their
+  /// weights fit it.
   [[nodiscard]] std::vector<item_progress> take(const job& it, time_point now);
   [[nodiscard]] std::size_t size() const { return texts_.size(); }
 
@@ -42,7 +45,8 @@
   void expire(time_point now);
 
   carried_texts_options options_;
-  std::map<std::string, entry, std::less<>> texts_;
+  /// By workspace and item: the ids of one workspace say nothing about another's.
+  std::map<std::pair<std::string, std::string>, entry> texts_;
   std::size_t bytes_ = 0;
 };
 
--- a/tests/jobs/carried_texts_test.cpp
+++ b/tests/jobs/carried_texts_test.cpp
@@ -15,6 +15,7 @@
 
 job make_job(std::uint64_t minimum_version, const std::vector<std::string>& ids) {
   job it;
+  it.workspace = "north";
   it.minimum_version = minimum_version;
   for (const std::string& id : ids) {
     it.items.emplace_back().id = id;
@@ -29,7 +30,7 @@
   carried_texts texts({.keep = seconds(20), .most_bytes = 1000});
   const std::vector<item_progress> left = {make_text("a", {4}), make_text("b", {3, 4}),
                                            make_text("c", {4, 5})};
-  texts.add(left, start);
+  texts.add("north", left, start);
 
   SECTION("where all versions of their weights fit it") {
     const auto taken = texts.take(make_job(4, {"c", "x", "b", "a"}), start + seconds(1));
@@ -47,18 +48,24 @@
     REQUIRE(taken.size() == 1);
     CHECK(taken[0].id == "a");
   }
+  SECTION("but never in a step of another workspace that names the same ids") {
+    job foreign = make_job(4, {"a", "c"});
+    foreign.workspace = "south";
+    CHECK(texts.take(foreign, start).empty());
+    CHECK(texts.take(make_job(4, {"a"}), start).size() == 1);
+  }
   SECTION("but not after a while") {
     CHECK(texts.take(make_job(3, {"a"}), start + seconds(20)).empty());
     CHECK(texts.size() == 0);
   }
   SECTION("within a bound, the newest") {
     const std::vector<item_progress> more = {make_text("d", {4}, 900)};
-    texts.add(more, start + seconds(1));
+    texts.add("north", more, start + seconds(1));
     CHECK(texts.size() == 2);
     CHECK(texts.take(make_job(4, {"d"}), start + seconds(1)).size() == 1);
     // A text that came again replaces the earlier one.
-    texts.add(left, start + seconds(2));
-    texts.add(left, start + seconds(3));
+    texts.add("north", left, start + seconds(2));
+    texts.add("north", left, start + seconds(3));
     CHECK(texts.size() == 3);
   }
 }
--- a/tests/platform/job_peer_test.cpp
+++ b/tests/platform/job_peer_test.cpp
@@ -61,7 +61,11 @@
                   },
               .end = [](const std::string& job,
                         const std::function<void(bool)>& done) { done(job == "here"); },
-              .carry = [this](std::vector<jobs::item_progress> it) { texts = std::move(it); }}) {
+              .carry =
+                  [this](std::string_view of, std::vector<jobs::item_progress> it) {
+                    workspace = of;
+                    texts = std::move(it);
+                  }}) {
     members.start();
   }
 
@@ -71,6 +75,7 @@
   submit_outcome outcome = submit_outcome::accepted;
   std::optional<jobs::job> submitted;
   std::vector<jobs::item_progress> texts;
+  std::string workspace;
   std::unique_ptr<http1::server> server;
   http1::client calls;
   store_client store_calls;
@@ -145,8 +150,9 @@
     CHECK(end("here"));
     CHECK_FALSE(end("elsewhere"));
     const std::vector<jobs::item_progress> texts = {{"i1", "half a text", 90, {4, 5}}};
-    asking.peer.carry(id, texts);
+    asking.peer.carry(id, "north & south", texts);
     REQUIRE(loop->run_until([&] { return !other.texts.empty(); }, patience));
+    CHECK(other.workspace == "north & south");
     CHECK(other.texts[0].text == "half a text");
     CHECK(other.texts[0].versions == std::vector<std::uint64_t>{4, 5});
   }
