--- a/libs/instance/job_peer.cpp
+++ b/libs/instance/job_peer.cpp
@@ -253,11 +253,13 @@
 
 void job_peer::answer_texts(const std::shared_ptr<http1::exchange>& from) {
   auto texts = jobs::progress_from_document(from->received().body);
-  if (texts) {
-    own_.carry(http1::query_parameter(from->received().target, "workspace").value_or(std::string()),
-               std::move(texts).value());
+  if (!texts) {
+    from->respond({refused, {}, {}});
+    return;
   }
-  from->respond({texts ? ok : refused, {}, {}});
+  own_.carry(http1::query_parameter(from->received().target, "workspace").value_or(std::string()),
+             std::move(texts).value());
+  from->respond({ok, {}, {}});
 }
 
 } // namespace boragedoor::instance
