--- a/tests/jobs/listed_results_test.cpp
+++ b/tests/jobs/listed_results_test.cpp
@@ -11,6 +11,7 @@
 
 std::vector<item_result> make_results(const std::vector<std::string>& ids, std::size_t bytes) {
   std::vector<item_result> list;
+  list.reserve(ids.size());
   for (const std::string& id : ids) {
     list.push_back({id, item_state::done, std::string(bytes, 'x'), {1}, "s"});
   }
