--- a/libs/duties/member_table.h
+++ b/libs/duties/member_table.h
@@ -67,7 +67,8 @@
   /// for that to save calls. It is the oldest one there, so that it changes rarely.
   [[nodiscard]] const member* watcher_of(std::string_view data_centre) const;
   /// The member that takes something over, or takes it on, by its name: a job, for example. It is
-  /// the same on every instance and never a draining one.
+  /// the same on every instance, never a draining one, and one of those with the most processor
+  /// time, because a step of 128 texts takes more than a small instance has.
   [[nodiscard]] const member* heir(std::string_view name) const;
 
 private:
--- a/libs/duties/weight_schedule.cpp
+++ b/libs/duties/weight_schedule.cpp
@@ -55,6 +55,7 @@
     if (loading_.contains(it.id) || is_paused(it.id, now)) {
       continue;
     }
+    const std::size_t useful = useful_models(it);
     for (const auto& [model, version] : it.versions) {
       const std::uint64_t target = newest(model);
       if (version >= target) {
@@ -66,7 +67,7 @@
       if (!too_old && !settled && 2 * (of.current + 1) > of.all) {
         continue;
       }
-      const std::tuple order(of.useful + of.current, !too_old, useful_models(it), it.load);
+      const std::tuple order(of.useful + of.current, !too_old, useful, it.load);
       if (best == nullptr || order < least) {
         best = &it;
         best_model = model;
--- a/libs/duties/weight_schedule.h
+++ b/libs/duties/weight_schedule.h
@@ -78,7 +78,6 @@
   [[nodiscard]] std::size_t most_at_once() const;
   /// The order was refused or got no answer: the engine is tried again after a delay.
   void failed(std::string_view engine, time_point now);
-  [[nodiscard]] bool is_loading(std::string_view engine) const { return loading_.contains(engine); }
 
 private:
   /// Engines that hold a model.
--- a/libs/events/event_log.cpp
+++ b/libs/events/event_log.cpp
@@ -72,11 +72,11 @@
   if (!logger_) {
     return;
   }
-  if (bounded_ && !budget_.take(level, it.monotonic)) {
-    ++dropped_;
-    return;
-  }
   if (bounded_) {
+    if (!budget_.take(level, it.monotonic)) {
+      ++dropped_;
+      return;
+    }
     dropped_ += bounded_->take_dropped();
   }
   if (dropped_ > 0) {
--- a/libs/http1/message.cpp
+++ b/libs/http1/message.cpp
@@ -111,6 +111,14 @@
   }
 }
 
+std::uint64_t number_parameter(std::string_view target, std::string_view name) {
+  std::uint64_t value = 0;
+  if (const auto text = query_parameter(target, name)) {
+    std::from_chars(text->data(), text->data() + text->size(), value);
+  }
+  return value;
+}
+
 std::optional<std::int64_t> integer_header(const net::headers& list, std::string_view name) {
   const std::string_view text = net::find_header(list, name);
   std::int64_t value = 0;
--- a/libs/http1/message.h
+++ b/libs/http1/message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -29,6 +30,9 @@
 /// A percent-decoded query parameter; nothing when it is missing.
 std::optional<std::string> query_parameter(std::string_view target, std::string_view name);
 
+/// A query parameter that is a number; 0 when it is missing or none.
+std::uint64_t number_parameter(std::string_view target, std::string_view name);
+
 /// Whether a comma-separated header value holds a token, without regard to case.
 bool has_token(std::string_view value, std::string_view token);
 
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "instance/call_limits.h"
 #include "instance/error_response.h"
 
 namespace boragedoor::instance {
@@ -14,7 +15,6 @@
 using events::event_number;
 
 /// Endpoints are a few milliseconds away; one that does not take a connection by then is down.
-constexpr duration connect_timeout = milliseconds(300);
 
 /// What a caller is told when no endpoint can take its request: endpoints that restart are back
 /// within seconds, and the spread keeps callers from returning together.
--- a/libs/instance/job_peer.cpp
+++ b/libs/instance/job_peer.cpp
@@ -1,6 +1,5 @@
 #include "instance/job_peer.h"
 
-#include <charconv>
 #include <span>
 #include <utility>
 
@@ -9,6 +8,7 @@
 #include "base/json.h"
 #include "base/json_binary.h"
 #include "base/json_fields.h"
+#include "instance/call_limits.h"
 #include "instance/error_response.h"
 #include "jobs/job_documents.h"
 
@@ -21,7 +21,6 @@
 constexpr std::string_view end_path = "/jobs/end";
 constexpr std::string_view texts_path = "/jobs/texts";
 
-constexpr duration connect_timeout = milliseconds(300);
 /// What a call may take beside its wait. Readers allow 1.5 s more than they ask to wait, and the
 /// store must be asked within that time if the member is silent.
 constexpr duration read_slack = milliseconds(400);
@@ -85,121 +84,76 @@
   return outcome_unknown;
 }
 
-std::size_t number_parameter(std::string_view target, std::string_view name) {
-  const std::string text = http1::query_parameter(target, name).value_or(std::string());
-  std::size_t value = 0;
-  std::from_chars(text.data(), text.data() + text.size(), value);
-  return value;
-}
-
 } // namespace
 
 job_peer::job_peer(net::event_loop& loop, member_task& members, service own)
     : members_(members), calls_(loop), own_(std::move(own)) {}
 
-std::optional<net::address> job_peer::address_of(std::string_view member) const {
+void job_peer::call(std::string_view member, http1::request message, duration limit, on_end done) {
   const duties::member* it = members_.members().find(member);
-  if (it == nullptr) {
-    return std::nullopt;
-  }
-  const net::address at = net::parse_address(it->relay);
-  return at.port == 0 ? std::nullopt : std::optional(at);
-}
-
-void job_peer::read(std::string_view member, const std::string& job, std::size_t after,
-                    duration wait, std::function<void(std::optional<job_listing>)> done) {
-  const auto at = address_of(member);
-  if (!at) {
-    done(std::nullopt);
+  const net::address at = it == nullptr ? net::address() : net::parse_address(it->relay);
+  if (at.port == 0) {
+    done(http1::call_outcome::not_connected, {});
     return;
   }
+  message.headers.emplace_back("Host", net::to_string(at));
   http1::call_spec spec;
-  spec.target = *at;
-  spec.message = {"GET",
-                  fmt::format("{}?job={}&after={}&wait_ms={}", read_path,
-                              net::encode_component(job), after,
-                              std::chrono::duration_cast<milliseconds>(wait).count()),
-                  {{"Host", net::to_string(*at)}},
-                  {}};
+  spec.target = at;
+  spec.message = std::move(message);
   spec.connect_timeout = connect_timeout;
-  spec.progress_timeout = wait + read_slack;
+  spec.progress_timeout = limit;
   http1::call_callbacks callbacks;
-  callbacks.on_end = [done = std::move(done)](http1::call_outcome outcome,
-                                              const http1::response& it) {
-    done(outcome == http1::call_outcome::complete && it.status == ok ? listing_from_message(it.body)
-                                                                     : std::nullopt);
-  };
+  callbacks.on_end = std::move(done);
   calls_.send(std::move(spec), std::move(callbacks));
 }
 
+void job_peer::read(std::string_view member, const std::string& job, std::size_t after,
+                    duration wait, std::function<void(std::optional<job_listing>)> done) {
+  call(member,
+       {"GET",
+        fmt::format("{}?job={}&after={}&wait_ms={}", read_path, net::encode_component(job), after,
+                    std::chrono::duration_cast<milliseconds>(wait).count()),
+        {},
+        {}},
+       wait + read_slack,
+       [done = std::move(done)](http1::call_outcome outcome, const http1::response& it) {
+         done(outcome == http1::call_outcome::complete && it.status == ok
+                  ? listing_from_message(it.body)
+                  : std::nullopt);
+       });
+}
+
 void job_peer::submit(std::string_view member, const jobs::job& it,
                       std::function<void(submit_outcome)> done) {
-  const auto at = address_of(member);
-  if (!at) {
-    done(submit_outcome::refused);
-    return;
-  }
-  http1::call_spec spec;
-  spec.target = *at;
-  spec.message = {
-      "POST", std::string(submit_path), {{"Host", net::to_string(*at)}}, jobs::to_document(it)};
-  spec.connect_timeout = connect_timeout;
-  spec.progress_timeout = submit_limit;
-  http1::call_callbacks callbacks;
-  callbacks.on_end = [done = std::move(done)](http1::call_outcome outcome,
-                                              const http1::response& answer) {
-    if (outcome == http1::call_outcome::not_connected) {
-      done(submit_outcome::refused);
-    } else {
-      done(outcome == http1::call_outcome::complete ? to_outcome(answer.status)
-                                                    : submit_outcome::unknown);
-    }
-  };
-  calls_.send(std::move(spec), std::move(callbacks));
+  call(member, {"POST", std::string(submit_path), {}, jobs::to_document(it)}, submit_limit,
+       [done = std::move(done)](http1::call_outcome outcome, const http1::response& answer) {
+         if (outcome == http1::call_outcome::not_connected) {
+           done(submit_outcome::refused);
+         } else {
+           done(outcome == http1::call_outcome::complete ? to_outcome(answer.status)
+                                                         : submit_outcome::unknown);
+         }
+       });
 }
 
 void job_peer::end(std::string_view member, const std::string& job,
                    std::function<void(bool)> done) {
-  const auto at = address_of(member);
-  if (!at) {
-    done(false);
-    return;
-  }
-  http1::call_spec spec;
-  spec.target = *at;
-  spec.message = {"POST",
-                  fmt::format("{}?job={}", end_path, net::encode_component(job)),
-                  {{"Host", net::to_string(*at)}},
-                  {}};
-  spec.connect_timeout = connect_timeout;
-  spec.progress_timeout = end_limit;
-  http1::call_callbacks callbacks;
-  callbacks.on_end = [done = std::move(done)](http1::call_outcome outcome,
-                                              const http1::response& it) {
-    done(outcome == http1::call_outcome::complete && it.status == ok);
-  };
-  calls_.send(std::move(spec), std::move(callbacks));
+  call(member, {"POST", fmt::format("{}?job={}", end_path, net::encode_component(job)), {}, {}},
+       end_limit, [done = std::move(done)](http1::call_outcome outcome, const http1::response& it) {
+         done(outcome == http1::call_outcome::complete && it.status == ok);
+       });
 }
 
 void job_peer::carry(std::string_view member, std::string_view workspace,
                      std::span<const jobs::item_progress> texts) {
-  const auto at = address_of(member);
-  if (!at) {
-    return;
-  }
-  http1::call_spec spec;
-  spec.target = *at;
-  spec.message = {"POST",
-                  fmt::format("{}?workspace={}", texts_path, net::encode_component(workspace)),
-                  {{"Host", net::to_string(*at)}},
-                  jobs::to_document(texts)};
-  spec.connect_timeout = connect_timeout;
-  spec.progress_timeout = end_limit;
-  http1::call_callbacks callbacks;
-  callbacks.on_end = [](http1::call_outcome /*outcome*/, const http1::response& /*it*/) {
-    // Without them the next step makes the texts anew.
-  };
-  calls_.send(std::move(spec), std::move(callbacks));
+  call(member,
+       {"POST",
+        fmt::format("{}?workspace={}", texts_path, net::encode_component(workspace)),
+        {},
+        jobs::to_document(texts)},
+       end_limit, [](http1::call_outcome /*outcome*/, const http1::response& /*it*/) {
+         // Without them the next step makes the texts anew.
+       });
 }
 
 bool job_peer::answer(const std::shared_ptr<http1::exchange>& from) {
@@ -221,7 +175,8 @@
 void job_peer::answer_read(const std::shared_ptr<http1::exchange>& from) {
   const std::string& target = from->received().target;
   own_.read(http1::query_parameter(target, "job").value_or(std::string()),
-            number_parameter(target, "after"), milliseconds(number_parameter(target, "wait_ms")),
+            http1::number_parameter(target, "after"),
+            milliseconds(http1::number_parameter(target, "wait_ms")),
             [from](const std::optional<job_listing>& it) {
               if (it) {
                 from->respond({ok, {{"Content-Type", "application/cbor"}}, to_message(*it)});
--- a/libs/instance/job_peer.h
+++ b/libs/instance/job_peer.h
@@ -64,7 +64,10 @@
   bool answer(const std::shared_ptr<http1::exchange>& from);
 
 private:
-  [[nodiscard]] std::optional<net::address> address_of(std::string_view member) const;
+  using on_end = std::function<void(http1::call_outcome outcome, const http1::response& it)>;
+
+  /// Calls a member. One that is not known, or has no address for calls, counts as not connected.
+  void call(std::string_view member, http1::request message, duration limit, on_end done);
   void answer_read(const std::shared_ptr<http1::exchange>& from);
   void answer_submission(const std::shared_ptr<http1::exchange>& from);
   void answer_end(const std::shared_ptr<http1::exchange>& from);
--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "instance/call_limits.h"
 #include "jobs/job_documents.h"
 
 namespace boragedoor::instance {
@@ -11,7 +12,6 @@
 
 using events::event_number;
 
-constexpr duration connect_timeout = milliseconds(300);
 /// Longest silence of a generation's stream. Loading weights halts one for about a second, slow
 /// engines several times an event's time; beyond that its connection is taken for dead.
 constexpr duration stream_timeout = seconds(4);
--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -19,8 +19,8 @@
 /// How long a submission is repeated whose outcome is not known. Trainers wait four seconds.
 constexpr duration submit_limit = seconds(3);
 constexpr duration submit_retry = milliseconds(100);
-/// Steps of a trainer that run at the same time. Each of them has an instance of its own, and the
-/// next but one runs there again, over connections to the engines that are still open.
+/// Steps of a trainer that run at the same time. Each of them has an instance of its own, so that
+/// no instance runs all of a trainer's texts.
 constexpr std::uint64_t steps_at_once = 2;
 /// Attempts to end a job against concurrent changes of its record.
 constexpr int end_attempts = 5;
--- a/libs/instance/relay_listener.cpp
+++ b/libs/instance/relay_listener.cpp
@@ -2,13 +2,13 @@
 
 #include <utility>
 
+#include "instance/call_limits.h"
 #include "instance/error_response.h"
 
 namespace boragedoor::instance {
 
 namespace {
 
-constexpr duration connect_timeout = milliseconds(300);
 /// Watches wait a few seconds; the caller has a timeout of its own.
 constexpr duration progress_timeout = seconds(5);
 /// Values of the store have up to one megabyte, a third more with their encoding.
--- a/libs/instance/shared_store.cpp
+++ b/libs/instance/shared_store.cpp
@@ -1,11 +1,11 @@
 #include "instance/shared_store.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include <fmt/format.h>
 
+#include "instance/call_limits.h"
 #include "instance/error_response.h"
 #include "instance/prefix_watch.h"
 #include "instance/watch_messages.h"
@@ -24,7 +24,6 @@
 /// end.
 constexpr duration following_wait = seconds(1);
 constexpr duration following_slack = milliseconds(400);
-constexpr duration connect_timeout = milliseconds(300);
 /// An instance that did not answer is asked again after this time. Its entry as a member ends after
 /// three seconds.
 constexpr duration set_aside_time = seconds(1);
@@ -50,14 +49,6 @@
                         executed::no);
 }
 
-std::uint64_t number_parameter(std::string_view target, std::string_view name) {
-  std::uint64_t value = 0;
-  if (const auto text = http1::query_parameter(target, name)) {
-    std::from_chars(text->data(), text->data() + text->size(), value);
-  }
-  return value;
-}
-
 http1::response to_response(const watch_answer& it) {
   if (it.status == store_status::missing) {
     return error_response(gone, "history_gone", "the changes are no longer known", executed::no);
@@ -210,16 +201,15 @@
       limit,
       [this, of, prefix, after, wait,
        done = std::move(done)](const std::optional<std::string>& message) {
-        if (!message) {
-          // What came meanwhile is told at once, because the store is asked from where the other
-          // instance stood.
-          watch_store(prefix, after, wait, done);
-          return;
+        result<watch_answer> answer = error{error_code::unavailable, "no answer"};
+        if (message) {
+          answer = message->empty()
+                       ? result<watch_answer>(watch_answer{store_status::missing, {}, 0})
+                       : watch_answer_from_message(*message);
         }
-        auto answer = message->empty()
-                          ? result<watch_answer>(watch_answer{store_status::missing, {}, 0})
-                          : watch_answer_from_message(*message);
         if (!answer) {
+          // What came meanwhile is told at once, because the store is asked from where the other
+          // instance stood.
           watch_store(prefix, after, wait, done);
           return;
         }
@@ -281,8 +271,8 @@
   } else if (path == list_path) {
     from->respond({ok, {{"Content-Type", "application/cbor"}}, to_message(of->mirror.list())});
   } else {
-    answer_watch(*of, number_parameter(target, "after"),
-                 milliseconds(number_parameter(target, "wait_ms")), from);
+    answer_watch(*of, http1::number_parameter(target, "after"),
+                 milliseconds(http1::number_parameter(target, "wait_ms")), from);
   }
   return true;
 }
--- a/libs/instance/weight_task.cpp
+++ b/libs/instance/weight_task.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "instance/call_limits.h"
+
 namespace boragedoor::instance {
 
 namespace {
@@ -10,7 +12,6 @@
 
 constexpr duration tick_interval = milliseconds(25);
 constexpr duration call_timeout = seconds(1);
-constexpr duration connect_timeout = milliseconds(300);
 /// Loading takes about 0.9 s; reports are some hundred milliseconds old.
 constexpr duration first_poll = milliseconds(960);
 constexpr duration poll_interval = milliseconds(40);
