--- /dev/null
+++ b/tests/platform/instance_parts.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "instance/instance_context.h"
+#include "platform/replica_protocol.h"
+#include "platform/store_client.h"
+
+namespace boragedoor::platform {
+
+/// What the tasks of one instance share, for tests of single tasks. The instance has the boot id
+/// "b" and is in data centre "z1".
+struct instance_parts {
+  instance_parts(net::event_loop& loop, net::address store, const std::string& name)
+      : calls(loop), store_calls(loop, std::move(store), [](auto, auto, auto) {}),
+        log(events::event_log::create({.instance = name, .boot = "b", .path = ""}).value()),
+        context{.loop = loop,
+                .calls = calls,
+                .store = store_calls,
+                .protocol = protocol,
+                .log = *log,
+                .metrics = metrics,
+                .identity = {name, "b", "z1", "r1"},
+                .routes = {},
+                .endpoints = dispatch::service_endpoints::create("z1").value(),
+                .random = random_engine(1)} {}
+
+  http1::client calls;
+  store_client store_calls;
+  replica_protocol protocol;
+  metrics::registry metrics;
+  std::unique_ptr<events::event_log> log;
+  instance::instance_context context;
+};
+
+} // namespace boragedoor::platform
--- a/tests/platform/job_peer_test.cpp
+++ b/tests/platform/job_peer_test.cpp
@@ -7,8 +7,7 @@
 
 #include "http1/server.h"
 #include "instance/error_response.h"
-#include "platform/replica_protocol.h"
-#include "platform/store_client.h"
+#include "instance_parts.h"
 #include "store_stand_in.h"
 
 namespace boragedoor::platform {
@@ -34,19 +33,8 @@
                    },
                    &instance::listener_refusal)
                    .value()),
-        calls(loop), store_calls(loop, store, [](auto, auto, auto) {}),
-        log(events::event_log::create({.instance = name, .boot = "b", .path = ""}).value()),
-        context{.loop = loop,
-                .calls = calls,
-                .store = store_calls,
-                .protocol = protocol,
-                .log = *log,
-                .metrics = metrics,
-                .identity = {name, "b", "z1", "r1"},
-                .routes = {},
-                .endpoints = dispatch::service_endpoints::create("z1").value(),
-                .random = random_engine(1)},
-        members(context, name + ":80", net::to_string(server->local_address()), seconds(3)),
+        parts(loop, store, name),
+        members(parts.context, name + ":80", net::to_string(server->local_address()), seconds(3)),
         peer(loop, members,
              {.read =
                   [this](const std::string& job, std::size_t after, duration /*wait*/,
@@ -77,12 +65,7 @@
   std::vector<jobs::item_progress> texts;
   std::string workspace;
   std::unique_ptr<http1::server> server;
-  http1::client calls;
-  store_client store_calls;
-  replica_protocol protocol;
-  metrics::registry metrics;
-  std::unique_ptr<events::event_log> log;
-  instance::instance_context context;
+  instance_parts parts;
   instance::member_task members;
   instance::job_peer peer;
 };
--- a/tests/platform/member_task_test.cpp
+++ b/tests/platform/member_task_test.cpp
@@ -4,8 +4,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "platform/replica_protocol.h"
-#include "platform/store_client.h"
+#include "instance_parts.h"
 #include "store_stand_in.h"
 
 namespace boragedoor::platform {
@@ -18,28 +17,12 @@
 /// One instance with nothing but its membership.
 struct candidate {
   candidate(net::event_loop& loop, net::address store, const std::string& name)
-      : calls(loop), store_calls(loop, std::move(store), [](auto, auto, auto) {}),
-        log(events::event_log::create({.instance = name, .boot = "b", .path = ""}).value()),
-        context{.loop = loop,
-                .calls = calls,
-                .store = store_calls,
-                .protocol = protocol,
-                .log = *log,
-                .metrics = metrics,
-                .identity = {name, "b", "z1", "r1"},
-                .routes = {},
-                .endpoints = dispatch::service_endpoints::create("z1").value(),
-                .random = random_engine(1)},
-        task(context, name + ":80", name + ":81", lease_ttl) {
+      : parts(loop, std::move(store), name),
+        task(parts.context, name + ":80", name + ":81", lease_ttl) {
     task.start();
   }
 
-  http1::client calls;
-  store_client store_calls;
-  replica_protocol protocol;
-  metrics::registry metrics;
-  std::unique_ptr<events::event_log> log;
-  instance::instance_context context;
+  instance_parts parts;
   instance::member_task task;
 };
 
