Let a claim of the duties depend on the previous holder's member entry

Cause: where receivers check no fencing tokens, only timing kept two holders apart. A call was checked when it was decided and written up to 500 ms later, when its connection was made; a claim did not look at the holder; the steady clock stopped while a machine was suspended, so a lease seemed valid afterwards; an instance could take the duties back within the lease time (order A, B, A).

Change: duty_claim and member_lease decide without network. A claim takes effect only if the previous holder's entry is gone, draining, or newer than its claim; it acts after a pause; an instance that lost the duties waits a lease time. Calls are checked again when they are written (call_spec::may_send). Wall times that enter decisions do not follow steps of the time of day until they have lasted a minute (stable_wall_clock).

--- a/libs/duties/member_table.h
+++ b/libs/duties/member_table.h
@@ -30,6 +30,8 @@
   bool draining = false;
   /// Store revision at which the entry was created; lower is older.
   std::uint64_t created = 0;
+  /// Store revision of the last change of the entry.
+  std::uint64_t revision = 0;
 
   friend bool operator==(const member&, const member&) = default;
 };
@@ -38,8 +40,8 @@
 std::string_view instance_of(std::string_view member_id);
 
 std::string to_document(const member& it);
-/// Fails with `protocol` if the document is malformed. Leaves `created` at 0, because it comes from
-/// the store and not from the document.
+/// Fails with `protocol` if the document is malformed. Leaves the revisions at 0, because they come
+/// from the store and not from the document.
 result<member> member_from_document(std::string_view document);
 
 /// The members that have an entry in the store, and when others lost theirs.
--- a/libs/http1/call.h
+++ b/libs/http1/call.h
@@ -28,6 +28,9 @@
   net::address target;
   request message;
   duration connect_timeout = seconds(1);
+  /// Asked when a new connection is made, right before the request is written. If it returns false,
+  /// the call ends as not connected. Empty: the request is always written.
+  std::function<bool()> may_send{};
   /// Longest time without a byte from the server once the connection is made.
   duration progress_timeout = seconds(5);
   /// Never uses a kept connection: a server may close one just as the request is sent, and then it
--- a/libs/http1/client_connection.cpp
+++ b/libs/http1/client_connection.cpp
@@ -131,7 +131,9 @@
   if ((what & BEV_EVENT_CONNECTED) != 0) {
     set_socket_options(bufferevent_getfd(bev));
     keep->connected_ = true;
-    if (keep->active_) {
+    if (keep->active_ && keep->spec_.may_send && !keep->spec_.may_send()) {
+      keep->fail(call_outcome::not_connected);
+    } else if (keep->active_) {
       keep->write_request();
     }
     return;
--- a/libs/instance/configuration_task.cpp
+++ b/libs/instance/configuration_task.cpp
@@ -2,18 +2,9 @@
 
 #include <utility>
 
-namespace boragedoor::instance {
-
-namespace {
+#include "base/overloaded.h"
 
-template <class... Visitors>
-struct overloaded : Visitors... {
-  using Visitors::operator()...;
-};
-template <class... Visitors>
-overloaded(Visitors...) -> overloaded<Visitors...>;
-
-} // namespace
+namespace boragedoor::instance {
 
 configuration_task::configuration_task(instance_context& context, const std::string& prefix,
                                        operator_decoder decode)
--- a/libs/instance/duty_intake.h
+++ b/libs/instance/duty_intake.h
@@ -13,6 +13,9 @@
 struct duty_holder {
   std::string name;
   std::uint64_t fencing_token = 0;
+  /// Whether the holder still holds the lease. A call whose connection is made later than that is
+  /// not sent.
+  std::function<bool()> is_current;
 };
 
 enum class intake_result {
--- a/libs/instance/instance_context.cpp
+++ b/libs/instance/instance_context.cpp
@@ -4,6 +4,10 @@
 
 namespace boragedoor::instance {
 
+wall_time instance_context::stable_wall_now() {
+  return wall_clock.read(loop.now(), wall_now());
+}
+
 void instance_context::count(std::string_view name, std::string_view help,
                              std::string_view outcome) {
   metrics.get_counter(name, help, {{"outcome", std::string(outcome)}}).add();
--- a/libs/instance/instance_context.h
+++ b/libs/instance/instance_context.h
@@ -5,6 +5,7 @@
 
 #include "base/json.h"
 #include "base/random.h"
+#include "base/stable_wall_clock.h"
 #include "dispatch/route_table.h"
 #include "dispatch/service_endpoints.h"
 #include "events/event_log.h"
@@ -42,7 +43,10 @@
   dispatch::route_table routes;
   dispatch::service_endpoints endpoints;
   random_engine random;
+  stable_wall_clock wall_clock{};
 
+  /// The wall time that decisions use. It does not follow steps of the system's clock at once.
+  [[nodiscard]] wall_time stable_wall_now();
   /// Increments the counter `name` for an outcome, for example of a request or a run.
   void count(std::string_view name, std::string_view help, std::string_view outcome);
   /// Adds a duration, in seconds, to the distribution `name`.
--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -72,7 +72,7 @@
 
 bool job_runner::is_done() const {
   return stopped_ || (run_.all_finished() && !chunk_ &&
-                      wall_now() >= run_.contents().give_up + result_retention);
+                      context_.stable_wall_now() >= run_.contents().give_up + result_retention);
 }
 
 std::optional<std::vector<jobs::item_result>> job_runner::results(std::size_t after) const {
@@ -87,11 +87,11 @@
   if (stopped_) {
     return;
   }
-  if (wall_now() >= run_.contents().give_up) {
+  if (context_.stable_wall_now() >= run_.contents().give_up) {
     while (!runs_.empty()) {
       cancel_run(runs_.begin()->first, jobs::run_outcome::broken, "given_up");
     }
-    run_.terminate_expired(wall_now(), now);
+    run_.terminate_expired(context_.stable_wall_now(), now);
   }
   move_slow_runs(now);
   while (const auto n = run_.next_item(now)) {
@@ -151,7 +151,7 @@
   }
   const auto it = std::make_shared<active_call>(
       active_call{.item = n, .endpoint = chosen->id, .call = {}, .reader = {}, .sent_at = now});
-  const auto left = std::chrono::duration_cast<duration>(job.give_up - wall_now());
+  const auto left = std::chrono::duration_cast<duration>(job.give_up - context_.stable_wall_now());
   const send_context to{.endpoint = chosen->id,
                         .workspace = job.workspace,
                         .time_left = std::clamp<duration>(left, milliseconds(1), run_timeout)};
@@ -451,7 +451,8 @@
 
 void job_runner::list_results(time_point now) {
   if (!chunk_) {
-    const auto to_due = std::chrono::duration_cast<duration>(run_.contents().due - wall_now());
+    const auto to_due =
+        std::chrono::duration_cast<duration>(run_.contents().due - context_.stable_wall_now());
     if (now < next_listing_ || !run_.results_due(now, to_due)) {
       return;
     }
@@ -506,9 +507,10 @@
   }
   const std::size_t added = chunk_->results.size();
   listed_.append(std::move(chunk_->results));
-  context_.measure("boragedoor_job_listing_seconds",
-                   "time from a job's submission to each write of results, seconds",
-                   std::chrono::duration_cast<duration>(wall_now() - run_.contents().submitted));
+  context_.measure(
+      "boragedoor_job_listing_seconds",
+      "time from a job's submission to each write of results, seconds",
+      std::chrono::duration_cast<duration>(context_.stable_wall_now() - run_.contents().submitted));
   context_.record(event_number::results_listed, job, {},
                   {{"results", added}, {"listed", listed_.end()}});
   chunk_.reset();
--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -89,7 +89,8 @@
 int job_service::open_items() const {
   std::size_t n = 0;
   for (const auto& [job, known] : store_.records()) {
-    if (!known.record.ended && wall_now() - known.record.submitted < demand_window) {
+    if (!known.record.ended &&
+        context_.stable_wall_now() - known.record.submitted < demand_window) {
       n += known.record.total;
     }
   }
--- a/libs/instance/member_task.cpp
+++ b/libs/instance/member_task.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/hash.h"
+#include "base/overloaded.h"
 
 namespace boragedoor::instance {
 
@@ -11,12 +12,7 @@
 
 constexpr std::string_view duties_key = "boragedoor/duties";
 
-/// Renewals per lease TTL: two may be lost before the lease expires.
-constexpr int renewals_per_lease = 3;
-/// This process treats its lease as expired this much early, because clocks run at different rates.
-constexpr duration lease_safety_margin = milliseconds(200);
 constexpr duration tick_interval = milliseconds(100);
-constexpr duration claim_retry = milliseconds(300);
 constexpr duration watch_wait = seconds(10);
 constexpr duration initial_watch_pause = milliseconds(200);
 
@@ -25,7 +21,8 @@
 member_task::member_task(instance_context& context, std::string address, std::string relay,
                          duration lease_ttl)
     : context_(context), address_(std::move(address)), relay_(std::move(relay)),
-      lease_ttl_(lease_ttl),
+      lease_ttl_(lease_ttl), lease_({.ttl = lease_ttl}),
+      claim_(context.identity.member_id(), context.loop.now(), {.lease_ttl = lease_ttl}),
       watch_(context.loop, context.store, std::string(member_prefix),
              {.wait = watch_wait, .pause = initial_watch_pause},
              {.on_put =
@@ -37,6 +34,7 @@
                       return;
                     }
                     decoded.value().created = it.created;
+                    decoded.value().revision = it.revision;
                     members_.put(it.key, decoded.value());
                   },
               .on_removed =
@@ -62,26 +60,23 @@
 }
 
 void member_task::drain() {
+  const time_point now = context_.loop.now();
   draining_ = true;
-  fencing_token_ = 0;
-  // Makes `tick` write the entry again, with the draining state.
-  registered_ = false;
-  next_renewal_ = context_.loop.now();
+  claim_.release(now);
+  lease_.write_entry_again(now);
   tick();
 }
 
 void member_task::leave() {
-  leaving_ = true;
-  fencing_token_ = 0;
-  registered_ = false;
-  if (lease_ != 0) {
+  claim_.release(context_.loop.now());
+  if (const std::uint64_t lease = lease_.leave(); lease != 0) {
     // Ending the lease removes the entry at once. If the call fails, the lease expires by itself.
-    context_.store.end_lease(std::exchange(lease_, 0));
+    context_.store.end_lease(lease);
   }
 }
 
 bool member_task::is_member(time_point now) const {
-  return registered_ && now < valid_until_;
+  return lease_.is_valid(now);
 }
 
 std::vector<net::address> member_task::relays() const {
@@ -122,61 +117,66 @@
 }
 
 std::optional<duty_permit> member_task::permit(time_point now) const {
-  if (fencing_token_ == 0 || !is_member(now)) {
+  const auto token = claim_.token(now);
+  if (!token || !is_member(now)) {
     return std::nullopt;
   }
-  return duty_permit{fencing_token_, valid_until_};
+  return duty_permit{.fencing_token = *token, .is_current = [this, token, alive = alive_] {
+                       const time_point sent_at = context_.loop.now();
+                       return *alive && is_member(sent_at) && claim_.token(sent_at) == token;
+                     }};
 }
 
 void member_task::reject_token(std::uint64_t token) {
-  if (token != 0 && token == fencing_token_) {
-    rejected_token_ = token;
-    fencing_token_ = 0;
-    next_claim_ = context_.loop.now() + lease_ttl_;
-    context_.record(events::event_number::lease_lost, {}, {}, {{"fencing_token", token}});
+  if (claim_.reject(token, context_.loop.now())) {
+    context_.record(events::event_number::lease_lost, {}, {},
+                    {{"fencing_token", token}, {"reason", "rejected"}});
+  }
+}
+
+void member_task::release_duties(std::string_view reason) {
+  if (claim_.release(context_.loop.now())) {
+    context_.record(events::event_number::lease_lost, {}, {},
+                    {{"duty", "all"}, {"reason", reason}});
   }
 }
 
 void member_task::tick() {
   const time_point now = context_.loop.now();
-  if (leaving_) {
+  if (lease_.has_left()) {
     return;
   }
-  if (lease_ != 0 && now >= valid_until_ + lease_safety_margin) {
-    // The entry may have been removed. A new lease creates a new entry, younger than the others.
-    lease_ = 0;
-    registered_ = false;
-    if (std::exchange(fencing_token_, 0) != 0) {
-      context_.record(events::event_number::lease_lost, {}, {}, {{"duty", "all"}});
-    }
+  if (lease_.drop_expired(now)) {
+    release_duties("expired");
   }
-  if (!call_pending_ && now >= next_renewal_) {
-    if (lease_ == 0) {
-      request_lease();
-    } else if (!registered_) {
-      register_member();
-    } else {
-      renew();
-    }
+  switch (lease_.next_step(now)) {
+  case duties::lease_step::none:
+    break;
+  case duties::lease_step::grant:
+    request_lease();
+    break;
+  case duties::lease_step::enter:
+    register_member();
+    break;
+  case duties::lease_step::renew:
+    renew();
+    break;
   }
   claim_duties();
 }
 
 void member_task::request_lease() {
   const time_point sent_at = context_.loop.now();
-  call_pending_ = true;
   context_.store.grant_lease(lease_ttl_, [this, sent_at, alive = alive_](const lease_answer& it) {
-    if (!*alive) {
+    if (!*alive || lease_.has_left()) {
       return;
     }
-    call_pending_ = false;
-    next_renewal_ = context_.loop.now() + tick_interval;
-    if (it.status != store_status::ok || leaving_) {
+    if (it.status != store_status::ok) {
+      lease_.failed(context_.loop.now());
       return;
     }
-    lease_ = it.lease;
-    valid_until_ = sent_at + it.ttl - lease_safety_margin;
-    register_member();
+    lease_.granted(it.lease, it.ttl, sent_at);
+    tick();
   });
 }
 
@@ -189,27 +189,19 @@
                             .relay = relay_,
                             .processor = context_.identity.processor,
                             .draining = draining_};
-  call_pending_ = true;
-  const std::uint64_t lease = lease_;
+  const std::uint64_t lease = lease_.lease();
   store_change change;
   change.puts.push_back({key(), duties::to_document(self), lease});
   context_.store.commit(change, [this, lease, alive = alive_](const commit_answer& it) {
     if (!*alive) {
       return;
     }
-    call_pending_ = false;
     const time_point now = context_.loop.now();
-    next_renewal_ = now + tick_interval;
-    if (leaving_ || lease != lease_) {
-      return;
-    }
     if (it.status == store_status::missing) {
-      lease_ = 0;
-      return;
-    }
-    if (it.status == store_status::ok) {
-      registered_ = true;
-      next_renewal_ = now + lease_ttl_ / renewals_per_lease;
+      lease_.lost(lease, now);
+    } else if (it.status != store_status::ok) {
+      lease_.failed(now);
+    } else if (lease_.entered(lease, it.revision, now)) {
       context_.record(events::event_number::membership_changed, {}, {}, {{"entered", true}});
       changed.emit();
     }
@@ -218,40 +210,33 @@
 
 void member_task::renew() {
   const time_point sent_at = context_.loop.now();
-  call_pending_ = true;
-  context_.store.keep_lease(lease_, [this, sent_at, alive = alive_](const lease_answer& it) {
+  const std::uint64_t lease = lease_.lease();
+  context_.store.keep_lease(lease, [this, lease, sent_at, alive = alive_](const lease_answer& it) {
     if (!*alive) {
       return;
     }
-    call_pending_ = false;
     if (it.status == store_status::ok) {
-      valid_until_ = sent_at + lease_ttl_ - lease_safety_margin;
-      next_renewal_ = sent_at + lease_ttl_ / renewals_per_lease;
-      return;
-    }
-    next_renewal_ = context_.loop.now() + tick_interval;
-    if (it.status == store_status::missing && !leaving_) {
-      lease_ = 0;
-      registered_ = false;
-      fencing_token_ = 0;
-      context_.record(events::event_number::lease_lost, {}, {}, {{"duty", "all"}});
+      lease_.renewed(lease, sent_at);
+    } else if (it.status == store_status::missing) {
+      lease_.lost(lease, context_.loop.now());
+      release_duties("missing");
+    } else {
+      lease_.failed(context_.loop.now());
     }
   });
 }
 
 void member_task::claim_duties() {
   const time_point now = context_.loop.now();
-  const duties::member* oldest = members_.oldest();
-  if (draining_ || !is_member(now) || oldest == nullptr ||
-      oldest->id != context_.identity.member_id()) {
-    fencing_token_ = 0;
+  if (draining_ || !is_member(now)) {
+    release_duties("no_member");
     return;
   }
-  if (fencing_token_ != 0 || claim_pending_ || now < next_claim_) {
+  // The pages of a first list may lack older members.
+  const duties::member* oldest = watch_.is_synced() ? members_.oldest() : nullptr;
+  if (oldest == nullptr || oldest->id != context_.identity.member_id() || !claim_.try_start(now)) {
     return;
   }
-  claim_pending_ = true;
-  next_claim_ = now + claim_retry;
   context_.store.read(std::string(duties_key), [this, alive = alive_](const read_answer& found) {
     if (*alive) {
       continue_claim(found);
@@ -260,32 +245,53 @@
 }
 
 void member_task::continue_claim(const read_answer& found) {
-  const std::string self = context_.identity.member_id();
-  if (found.status != store_status::ok && found.status != store_status::missing) {
-    claim_pending_ = false;
+  const time_point now = context_.loop.now();
+  if ((found.status != store_status::ok && found.status != store_status::missing) || draining_ ||
+      !is_member(now)) {
+    claim_.fail();
     return;
   }
-  if (found.status == store_status::ok && found.item.value == self &&
-      found.item.revision != rejected_token_) {
-    // An earlier claim took effect although its response was lost.
-    claim_pending_ = false;
-    fencing_token_ = found.item.revision;
-  } else {
-    store_change change;
-    change.expected.push_back({std::string(duties_key), found.item.revision});
-    change.puts.push_back({std::string(duties_key), self, 0});
-    context_.store.commit(change, [this, alive = alive_](const commit_answer& it) {
-      if (!*alive) {
-        return;
-      }
-      claim_pending_ = false;
-      if (it.status == store_status::ok) {
-        fencing_token_ = it.revision;
-        context_.record(events::event_number::lease_acquired, {}, {},
-                        {{"duty", "all"}, {"fencing_token", fencing_token_}});
-      }
-    });
+  const duties::duty_record record{.holder = found.item.value, .revision = found.item.revision};
+  duties::holder_entry entry;
+  if (record.holder == context_.identity.member_id()) {
+    entry = {lease_.entry_revision(), lease_.entry_revision(), false};
+  } else if (const duties::member* holder = members_.find(record.holder)) {
+    entry = {holder->revision, holder->created, holder->draining};
+  }
+  std::visit(overloaded{[](const duties::claim_postponed&) {},
+                        [this](const duties::claim_adopted&) { record_claim(); },
+                        [this](const duties::claim_write& it) { write_claim(it); }},
+             claim_.decide(record, entry, now));
+}
+
+void member_task::write_claim(const duties::claim_write& claim) {
+  store_change change;
+  change.expected.push_back({std::string(duties_key), claim.record_revision});
+  if (!claim.previous_holder.empty()) {
+    change.expected.push_back(
+        {std::string(member_prefix) + claim.previous_holder, claim.previous_entry_revision});
   }
+  change.puts.push_back({std::string(duties_key), context_.identity.member_id(), 0});
+  context_.store.commit(change, [this, alive = alive_](const commit_answer& it) {
+    if (!*alive) {
+      return;
+    }
+    const time_point now = context_.loop.now();
+    if (it.status != store_status::ok || draining_ || lease_.has_left()) {
+      // If the record names this process all the same, the next claim adopts it.
+      claim_.fail();
+      return;
+    }
+    claim_.written(it.revision, now);
+    if (claim_.holds()) {
+      record_claim();
+    }
+  });
+}
+
+void member_task::record_claim() {
+  context_.record(events::event_number::lease_acquired, {}, {},
+                  {{"duty", "all"}, {"fencing_token", claim_.held_token()}});
 }
 
 } // namespace boragedoor::instance
--- a/libs/instance/member_task.h
+++ b/libs/instance/member_task.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -8,6 +9,8 @@
 
 #include <sigc++/signal.h>
 
+#include "duties/duty_claim.h"
+#include "duties/member_lease.h"
 #include "duties/member_table.h"
 #include "instance/instance_context.h"
 #include "instance/prefix_watch.h"
@@ -18,11 +21,13 @@
 /// Prefix of the member entries in the store.
 inline constexpr std::string_view member_prefix = "boragedoor/members/";
 
-/// Permission to act for all instances. Check `valid_until` against the clock right before a call.
+/// Permission to act for all instances.
 struct duty_permit {
   /// Increases with each new holder.
   std::uint64_t fencing_token = 0;
-  time_point valid_until{};
+  /// Whether the permission still holds. Checked again when a call's connection is made, which may
+  /// be later than the decision to send it.
+  std::function<bool()> is_current;
 };
 
 /// Keeps the member entry of this process in the store and follows the entries of the others. The
@@ -66,30 +71,23 @@
   void tick();
   void claim_duties();
   void continue_claim(const read_answer& found);
+  void write_claim(const duties::claim_write& claim);
+  void record_claim();
+  /// Gives up the duties and records it, if this process holds them.
+  void release_duties(std::string_view reason);
   [[nodiscard]] std::string key() const;
 
   instance_context& context_;
   std::string address_;
   std::string relay_;
   duration lease_ttl_;
+  duties::member_lease lease_;
+  duties::duty_claim claim_;
   duties::member_table members_;
   prefix_watch watch_;
   net::timer timer_;
   time_point watching_since_{};
-  std::uint64_t lease_ = 0;
-  /// The lease lasts at least until this time, counted from the sending of the last renewal.
-  time_point valid_until_{};
-  time_point next_renewal_{};
-  bool registered_ = false;
-  bool call_pending_ = false;
   bool draining_ = false;
-  bool leaving_ = false;
-  /// Fencing token of this process while it holds the duties; 0 otherwise.
-  std::uint64_t fencing_token_ = 0;
-  /// Last token that a receiver rejected; it is not used again.
-  std::uint64_t rejected_token_ = 0;
-  bool claim_pending_ = false;
-  time_point next_claim_{};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/libs/instance/usage_task.cpp
+++ b/libs/instance/usage_task.cpp
@@ -37,18 +37,19 @@
 }
 
 void usage_task::count(const std::string& workspace) {
-  tally_.count(workspace, wall_now());
+  tally_.count(workspace, context_.stable_wall_now());
 }
 
 void usage_task::flush_all() {
   // The process accepts no more requests, so the counts of the window in progress are final.
-  for (const std::uint64_t window : tally_.ended_windows(wall_now() + tally_.window_length())) {
+  for (const std::uint64_t window :
+       tally_.ended_windows(context_.stable_wall_now() + tally_.window_length())) {
     flush(window);
   }
 }
 
 void usage_task::tick() {
-  for (const std::uint64_t window : tally_.ended_windows(wall_now())) {
+  for (const std::uint64_t window : tally_.ended_windows(context_.stable_wall_now())) {
     flush(window);
   }
   if (!members_.permit(context_.loop.now())) {
@@ -60,10 +61,11 @@
   }
   const duration length = tally_.window_length();
   if (!last_reported_window_) {
-    last_reported_window_ = duties::window_of(wall_now() - catch_up_period, length) - 1;
+    last_reported_window_ =
+        duties::window_of(context_.stable_wall_now() - catch_up_period, length) - 1;
   }
   const std::uint64_t next = *last_reported_window_ + 1;
-  if (duties::end_of_window(next, length) + collection_grace_period <= wall_now()) {
+  if (duties::end_of_window(next, length) + collection_grace_period <= context_.stable_wall_now()) {
     report_window(next);
   }
 }
@@ -148,7 +150,7 @@
     end_report();
     return;
   }
-  const duty_holder holder{context_.identity.name, permit->fencing_token};
+  const duty_holder holder{context_.identity.name, permit->fencing_token, permit->is_current};
   intake_.report_usage(window, counts, holder, [this, window, holder](intake_result result) {
     context_.record(events::event_number::usage_window_reported, {}, {},
                     {{"window", window},
--- a/libs/instance/weight_task.cpp
+++ b/libs/instance/weight_task.cpp
@@ -113,6 +113,7 @@
                                           .fencing_token = permit->fencing_token,
                                           // Makes the engine reject the order if it arrives late.
                                           .expected_sequence = sequence});
+  spec.may_send = permit->is_current;
   spec.connect_timeout = connect_timeout;
   spec.progress_timeout = call_timeout;
   http1::call_callbacks callbacks;
--- a/libs/retry/retry_policy.cpp
+++ b/libs/retry/retry_policy.cpp
@@ -6,13 +6,6 @@
 
 namespace {
 
-template <class... Handlers>
-struct overloaded : Handlers... {
-  using Handlers::operator()...;
-};
-template <class... Handlers>
-overloaded(Handlers...) -> overloaded<Handlers...>;
-
 // Maximum exponent of the backoff; beyond it every delay is limited by longest_delay anyway.
 constexpr int max_doublings = 20;
 
--- a/tests/http1/client_test.cpp
+++ b/tests/http1/client_test.cpp
@@ -1,6 +1,8 @@
 #include "http1/client.h"
 
+#include <algorithm>
 #include <optional>
+#include <utility>
 
 #include <catch2/catch.hpp>
 
@@ -59,6 +61,17 @@
     CHECK(calls.connections_made() == 1);
   }
 
+  SECTION("a request that may no longer be sent when its connection is made is not written") {
+    // Guards against an order that leaves after its sender has lost the duties.
+    bool permitted = true;
+    spec.may_send = [&] { return std::exchange(permitted, false); };
+    CHECK(call() == call_outcome::complete);
+    spec.new_connection = true;
+    CHECK(call() == call_outcome::not_connected);
+    CHECK(std::none_of(server.connections.begin(), server.connections.end(),
+                       [](const auto& it) { return has_request(*it); }));
+  }
+
   SECTION("a response without a length is complete only if the connection ends in order") {
     answer = "HTTP/1.1 200 OK\r\n\r\npart";
     after = then::close;
