--- a/libs/duties/duty_claim.h
+++ b/libs/duties/duty_claim.h
@@ -65,8 +65,8 @@
   /// in progress. The caller then reads the record and calls `decide` or `fail`.
   [[nodiscard]] bool try_start(time_point now);
   /// Decides the claim in progress. `holder` is the member entry of the record's holder; if that is
-  /// this member, the entry as it was written under the current lease, not as it was read, which may
-  /// be from before. After `claim_write` the caller calls `written` or `fail`.
+  /// this member, the entry as it was written under the current lease, not as it was read, which
+  /// may be from before. After `claim_write` the caller calls `written` or `fail`.
   [[nodiscard]] claim_decision decide(const duty_record& record, const holder_entry& holder,
                                       time_point now);
   /// Records that the write took effect at a store revision, which is the fencing token.
@@ -74,8 +74,8 @@
   /// Records that the record could not be read or written, or that the outcome is unknown.
   void fail();
 
-  /// Gives up the duties and the claim in progress, for example because the lease is no longer valid.
-  /// Returns whether this member held the duties.
+  /// Gives up the duties and the claim in progress, for example because the lease is no longer
+  /// valid. Returns whether this member held the duties.
   bool release(time_point now);
   /// Gives up the duties because a receiver has seen a higher token; the token is not used again.
   /// Returns false if it is not the current token.
