--- a/libs/dispatch/service_endpoints.cpp
+++ b/libs/dispatch/service_endpoints.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/hash.h"
+
 namespace boragedoor::dispatch {
 
 namespace {
@@ -33,6 +35,10 @@
 constexpr double ejected_penalty = 100;
 /// Deducted from the cost of the preferred endpoint.
 constexpr double preferred_endpoint_bonus = 0.4;
+/// Health is updated after a failure, which walks all endpoints. With more endpoints than this
+/// number, that happens at most once in a time that grows with their number.
+constexpr std::size_t max_endpoints_updated_at_once = 200;
+constexpr duration health_interval_per_endpoint = microseconds(5);
 /// Older load reports are ignored; only the own open requests count then.
 constexpr duration max_report_age = milliseconds(700);
 
@@ -46,10 +52,58 @@
 
 } // namespace
 
-service_endpoints::service_endpoints(std::string data_centre, routing::endpoint_health health)
-    : data_centre_(std::move(data_centre)), health_(std::move(health)) {}
+/// Compares the endpoints that are offered to it and keeps the one with the lowest cost.
+class service_endpoints::selection {
+public:
+  selection(const service_endpoints& owner, const endpoint_requirements& requirements,
+            time_point now, random_engine& random)
+      : owner_(owner), requirements_(requirements), now_(now), random_(random) {}
 
-result<service_endpoints> service_endpoints::create(std::string data_centre) {
+  void offer(const tracked_endpoint& it) {
+    if (!is_suitable(it)) {
+      return;
+    }
+    ++compared_;
+    const double cost = owner_.selection_cost(it, requirements_, now_);
+    // Ties are broken at random, so that instances do not all pick the same endpoint.
+    if (best_ == nullptr || cost < lowest_cost_) {
+      best_ = &it;
+      lowest_cost_ = cost;
+      ties_ = 1;
+    } else if (cost == lowest_cost_ &&
+               std::uniform_int_distribution<int>(0, ties_++)(random_) == 0) {
+      best_ = &it;
+    }
+  }
+  [[nodiscard]] bool is_full() const { return compared_ >= max_candidates; }
+  [[nodiscard]] const tracked_endpoint* best() const { return best_; }
+
+private:
+  [[nodiscard]] bool is_suitable(const tracked_endpoint& it) const {
+    const routing::endpoint& endpoint = it.entry.description;
+    return endpoint.state == routing::endpoint_state::ready &&
+           (!requirements_.requires_free_slot || has_free_slot(it, now_)) &&
+           holds_weights(it.entry, requirements_) &&
+           std::find(requirements_.excluded.begin(), requirements_.excluded.end(), endpoint.id) ==
+               requirements_.excluded.end();
+  }
+
+  const service_endpoints& owner_;
+  const endpoint_requirements& requirements_;
+  time_point now_;
+  random_engine& random_;
+  const tracked_endpoint* best_ = nullptr;
+  double lowest_cost_ = 0;
+  int ties_ = 0;
+  std::size_t compared_ = 0;
+};
+
+service_endpoints::service_endpoints(std::string data_centre, std::uint64_t seed,
+                                     routing::endpoint_health health)
+    : data_centre_(std::move(data_centre)), seed_(seed), health_(std::move(health)) {}
+
+result<service_endpoints> service_endpoints::create(std::string data_centre,
+                                                    std::string_view instance) {
   routing::health_options options;
   options.suspicion_threshold = ejection_threshold;
   options.base_ejection_time = base_ejection_time;
@@ -59,76 +113,110 @@
   if (!health) {
     return health.error();
   }
-  return service_endpoints(std::move(data_centre), std::move(health).value());
+  return service_endpoints(std::move(data_centre), hash64(instance), std::move(health).value());
 }
 
 void service_endpoints::put(const endpoint_entry& entry) {
   const std::string& id = entry.description.id;
-  const auto found = entries_.find(id);
-  if (found != entries_.end() && found->second.process_start_ms != entry.process_start_ms) {
+  if (id.empty() || entry.description.max_running < 1) {
+    return;
+  }
+  if (const tracked_endpoint* known = find_tracked(id);
+      known != nullptr && known->entry.process_start_ms != entry.process_start_ms) {
     // A new process under the same id: the load and health of the old one do not apply.
     remove(id);
   }
-  if (!table_.put(entry.description)) {
-    return;
+  const auto [position, added] = tracked_.try_emplace(id);
+  tracked_endpoint& it = position->second;
+  if (!added) {
+    remove_from_service(it);
   }
   health_.add(id, entry.description.data_centre, entry.description.pool);
-  entries_[id] = entry;
+  it.entry = entry;
+  it.rank = hash64(id, seed_);
+  add_to_service(it);
 }
 
 void service_endpoints::remove(std::string_view id) {
-  table_.remove(id);
-  health_.remove(id);
-  if (const auto it = event_intervals_.find(id); it != event_intervals_.end()) {
-    event_intervals_.erase(it);
+  const auto it = tracked_.find(id);
+  if (it == tracked_.end()) {
+    return;
   }
-  if (const auto it = refused_until_.find(id); it != refused_until_.end()) {
-    refused_until_.erase(it);
+  remove_from_service(it->second);
+  health_.remove(id);
+  tracked_.erase(it);
+}
+
+void service_endpoints::add_to_service(tracked_endpoint& it) {
+  service_entry& service = services_[it.entry.description.pool];
+  const auto position = std::upper_bound(
+      service.endpoints.begin(), service.endpoints.end(), it.rank,
+      [](std::uint64_t rank, const tracked_endpoint* other) { return rank < other->rank; });
+  service.endpoints.insert(position, &it);
+  service.open_requests += it.load.own_open_requests();
+  update_available(it);
+}
+
+void service_endpoints::remove_from_service(tracked_endpoint& it) {
+  const auto found = services_.find(it.entry.description.pool);
+  service_entry& service = found->second;
+  std::erase(service.endpoints, &it);
+  service.open_requests -= it.load.own_open_requests();
+  service.available -= std::exchange(it.available, false) ? 1 : 0;
+  if (service.endpoints.empty()) {
+    services_.erase(found);
   }
-  if (const auto it = entries_.find(id); it != entries_.end()) {
-    entries_.erase(it);
+}
+
+void service_endpoints::update_available(tracked_endpoint& it) {
+  const bool available = it.entry.description.state == routing::endpoint_state::ready &&
+                         it.health != routing::health_state::ejected;
+  if (std::exchange(it.available, available) != available) {
+    services_.find(it.entry.description.pool)->second.available += available ? 1 : -1;
   }
 }
 
-const endpoint_entry* service_endpoints::find(std::string_view id) const {
-  const auto it = entries_.find(id);
-  return it == entries_.end() ? nullptr : &it->second;
+service_endpoints::tracked_endpoint* service_endpoints::find_tracked(std::string_view id) {
+  const auto it = tracked_.find(id);
+  return it == tracked_.end() ? nullptr : &it->second;
 }
 
-bool service_endpoints::recently_refused(std::string_view id, time_point now) const {
-  const auto it = refused_until_.find(id);
-  return it != refused_until_.end() && now < it->second;
+const service_endpoints::tracked_endpoint*
+service_endpoints::find_tracked(std::string_view id) const {
+  const auto it = tracked_.find(id);
+  return it == tracked_.end() ? nullptr : &it->second;
 }
 
-bool service_endpoints::has_free_slot(const endpoint_entry& entry, time_point now) const {
-  const std::string& id = entry.description.id;
-  return load_of(id, now) < entry.description.max_running && !recently_refused(id, now) &&
-         health_.state(id) != routing::health_state::ejected;
+const endpoint_entry* service_endpoints::find(std::string_view id) const {
+  const tracked_endpoint* it = find_tracked(id);
+  return it == nullptr ? nullptr : &it->entry;
 }
 
-double service_endpoints::shortest_interval() const {
-  double shortest = 0;
-  for (const auto& [id, value] : event_intervals_) {
-    shortest = shortest == 0 ? value : std::min(shortest, value);
-  }
-  return shortest;
+int service_endpoints::current_load(const tracked_endpoint& it, time_point now) {
+  const auto& report = it.load.last_report();
+  return report && now - report->as_of <= max_report_age ? it.load.outstanding()
+                                                         : it.load.own_open_requests();
+}
+
+bool service_endpoints::has_free_slot(const tracked_endpoint& it, time_point now) {
+  return it.health != routing::health_state::ejected && now >= it.refused_until &&
+         current_load(it, now) < it.entry.description.max_running;
 }
 
-double service_endpoints::selection_cost(const endpoint_entry& entry,
+double service_endpoints::selection_cost(const tracked_endpoint& it,
                                          const endpoint_requirements& requirements,
                                          time_point now) const {
-  const routing::endpoint& endpoint = entry.description;
-  double cost = static_cast<double>(load_of(endpoint.id, now)) / endpoint.max_running;
+  const routing::endpoint& endpoint = it.entry.description;
+  double cost = static_cast<double>(current_load(it, now)) / endpoint.max_running;
   if (endpoint.data_centre != data_centre_) {
     cost += requirements.long_running ? remote_long_running_penalty : other_data_centre_penalty;
   }
-  if (const auto interval = event_intervals_.find(endpoint.id);
-      requirements.long_running && interval != event_intervals_.end()) {
-    cost += slowness_penalty * (interval->second / shortest_interval() - 1);
+  if (requirements.long_running && it.event_interval > 0) {
+    cost += slowness_penalty * (it.event_interval / shortest_interval_ - 1);
   }
   cost -= endpoint.id == requirements.preferred_endpoint ? preferred_endpoint_bonus : 0;
-  cost += recently_refused(endpoint.id, now) ? refusal_penalty : 0;
-  switch (health_.state(endpoint.id)) {
+  cost += now < it.refused_until ? refusal_penalty : 0;
+  switch (it.health) {
   case routing::health_state::healthy:
     return cost;
   case routing::health_state::probation:
@@ -142,49 +230,85 @@
 std::optional<chosen_endpoint> service_endpoints::choose(const endpoint_requirements& requirements,
                                                          time_point now,
                                                          random_engine& random) const {
-  const routing::route_request asked{.pool = requirements.service,
-                                     .excluded = requirements.excluded};
-  const endpoint_entry* best = nullptr;
-  double least = 0;
-  int ties = 0;
-  for (const auto& [id, it] : entries_) {
-    if (!routing::meets_requirements(it.description, asked) || !holds_weights(it, requirements) ||
-        (requirements.requires_free_slot && !has_free_slot(it, now))) {
-      continue;
-    }
-    const double cost = selection_cost(it, requirements, now);
-    // Ties are broken at random, so that instances do not all pick the same endpoint.
-    if (best == nullptr || cost < least) {
-      best = &it;
-      least = cost;
-      ties = 1;
-    } else if (cost == least && std::uniform_int_distribution<int>(0, ties++)(random) == 0) {
-      best = &it;
+  const auto found = services_.find(requirements.service);
+  if (found == services_.end()) {
+    return std::nullopt;
+  }
+  const std::vector<tracked_endpoint*>& all = found->second.endpoints;
+  const auto open_requests = static_cast<std::size_t>(std::max(found->second.open_requests, 0));
+  // The endpoints that this instance normally uses. The others follow if none of them is suitable.
+  const std::size_t usual = std::min(all.size(), std::max(max_candidates, open_requests));
+  const std::size_t first = usual <= max_candidates
+                                ? 0
+                                : std::uniform_int_distribution<std::size_t>(0, usual - 1)(random);
+  selection compared(*this, requirements, now, random);
+  if (!requirements.preferred_endpoint.empty() && usual > max_candidates) {
+    if (const tracked_endpoint* preferred = find_tracked(requirements.preferred_endpoint);
+        preferred != nullptr && preferred->entry.description.pool == requirements.service) {
+      compared.offer(*preferred);
     }
   }
+  for (std::size_t n = 0; n < usual && !compared.is_full(); ++n) {
+    compared.offer(*all[(first + n) % usual]);
+  }
+  for (std::size_t n = usual;
+       n < all.size() && !compared.is_full() &&
+       (compared.best() == nullptr || compared.best()->health == routing::health_state::ejected);
+       ++n) {
+    compared.offer(*all[n]);
+  }
+  const tracked_endpoint* best = compared.best();
   if (best == nullptr) {
     return std::nullopt;
   }
-  return chosen_endpoint{best->description.id, best->address};
+  return chosen_endpoint{best->entry.description.id, best->entry.address};
 }
 
 int service_endpoints::load_of(std::string_view id, time_point now) const {
-  const auto report = table_.last_report(id);
-  return report && now - report->as_of <= max_report_age ? table_.outstanding(id)
-                                                         : table_.own_open_requests(id);
+  const tracked_endpoint* it = find_tracked(id);
+  return it == nullptr ? 0 : current_load(*it, now);
 }
 
 void service_endpoints::note_sent(std::string_view id, time_point now) {
-  table_.record_dispatch(id, now);
+  if (tracked_endpoint* it = find_tracked(id)) {
+    it->load.record_dispatch(now);
+    services_.find(it->entry.description.pool)->second.open_requests += 1;
+  }
 }
 
 void service_endpoints::note_finished(std::string_view id,
                                       std::optional<routing::health_signal> outcome,
                                       time_point now) {
-  table_.record_completion(id, now);
-  if (outcome) {
-    health_.record(id, *outcome, now);
-    health_.update(now);
+  tracked_endpoint* it = find_tracked(id);
+  if (it == nullptr) {
+    return;
+  }
+  if (it->load.record_completion(now)) {
+    services_.find(it->entry.description.pool)->second.open_requests -= 1;
+  }
+  if (!outcome) {
+    return;
+  }
+  health_.record(id, *outcome, now);
+  // A success of a healthy endpoint changes no state.
+  const bool may_change =
+      *outcome != routing::health_signal::success || it->health != routing::health_state::healthy;
+  const duration interval =
+      tracked_.size() <= max_endpoints_updated_at_once
+          ? duration::zero()
+          : health_interval_per_endpoint * static_cast<duration::rep>(tracked_.size());
+  if (may_change && now - health_updated_at_ >= interval) {
+    update_health(now);
+  }
+}
+
+void service_endpoints::update_health(time_point now) {
+  health_updated_at_ = now;
+  for (const routing::health_change& change : health_.update(now)) {
+    if (tracked_endpoint* it = find_tracked(change.endpoint)) {
+      it->health = change.to;
+      update_available(*it);
+    }
   }
 }
 
@@ -193,53 +317,66 @@
 }
 
 void service_endpoints::note_event_interval(std::string_view id, double interval_seconds) {
-  const auto [it, added] = event_intervals_.try_emplace(std::string(id), interval_seconds);
-  if (!added) {
-    it->second += interval_smoothing * (interval_seconds - it->second);
+  tracked_endpoint* it = find_tracked(id);
+  if (it == nullptr || !(interval_seconds > 0)) {
+    return;
   }
+  double& interval = it->event_interval;
+  interval = interval == 0 ? interval_seconds
+                           : interval + interval_smoothing * (interval_seconds - interval);
+  shortest_interval_ = shortest_interval_ == 0 ? interval : std::min(shortest_interval_, interval);
 }
 
 std::optional<double> service_endpoints::event_interval(std::string_view id) const {
-  const auto it = event_intervals_.find(id);
-  return it == event_intervals_.end() ? std::nullopt : std::optional(it->second);
+  const tracked_endpoint* it = find_tracked(id);
+  return it == nullptr || it->event_interval == 0 ? std::nullopt
+                                                  : std::optional(it->event_interval);
 }
 
 void service_endpoints::note_refused(std::string_view id, time_point now) {
-  refused_until_[std::string(id)] = now + refusal_duration;
+  if (tracked_endpoint* it = find_tracked(id)) {
+    it->refused_until = now + refusal_duration;
+  }
 }
 
 void service_endpoints::note_load(std::string_view id, int running, int waiting, time_point now) {
-  table_.update_load(id, {now, running, waiting});
+  if (tracked_endpoint* it = find_tracked(id)) {
+    it->load.update({now, running, waiting});
+  }
 }
 
 void service_endpoints::note_misdirected(std::string_view id) {
-  table_.set_state(id, routing::endpoint_state::draining);
-  if (const auto it = entries_.find(id); it != entries_.end()) {
-    it->second.description.state = routing::endpoint_state::draining;
+  if (tracked_endpoint* it = find_tracked(id)) {
+    it->entry.description.state = routing::endpoint_state::draining;
+    update_available(*it);
   }
 }
 
 void service_endpoints::note_version(std::string_view id, std::string_view model,
                                      std::uint64_t version) {
-  const auto it = entries_.find(id);
-  if (it == entries_.end()) {
+  tracked_endpoint* it = find_tracked(id);
+  if (it == nullptr) {
     return;
   }
-  if (const auto held = it->second.versions.find(model); held != it->second.versions.end()) {
+  if (const auto held = it->entry.versions.find(model); held != it->entry.versions.end()) {
     held->second = std::max(held->second, version);
   }
 }
 
 void service_endpoints::tick(time_point now) {
-  health_.update(now);
+  update_health(now);
+  shortest_interval_ = 0;
+  for (const auto& [id, it] : tracked_) {
+    if (it.event_interval > 0 &&
+        (shortest_interval_ == 0 || it.event_interval < shortest_interval_)) {
+      shortest_interval_ = it.event_interval;
+    }
+  }
 }
 
 int service_endpoints::available_count(std::string_view service) const {
-  return static_cast<int>(std::count_if(entries_.begin(), entries_.end(), [&](const auto& it) {
-    const routing::endpoint& endpoint = it.second.description;
-    return endpoint.pool == service && endpoint.state == routing::endpoint_state::ready &&
-           health_.state(it.first) != routing::health_state::ejected;
-  }));
+  const auto it = services_.find(service);
+  return it == services_.end() ? 0 : it->second.available;
 }
 
 } // namespace boragedoor::dispatch
--- a/libs/dispatch/service_endpoints.h
+++ b/libs/dispatch/service_endpoints.h
@@ -6,12 +6,14 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/random.h"
 #include "base/result.h"
 #include "base/time.h"
 #include "net/http_types.h"
 #include "routing/endpoint_health.h"
+#include "routing/endpoint_load.h"
 #include "routing/endpoint_table.h"
 #include "routing/router.h"
 
@@ -50,10 +52,26 @@
 };
 
 /// Tracks the load and health of all services' endpoints and selects one for each request.
+///
+/// Design load: thousands of endpoints of one service, and an instance with an eighth of a core
+/// that starts hundreds of requests a second. A choice compares at most `max_candidates` endpoints,
+/// from a part of the service that is stable and grows with the requests that this instance has
+/// open there. An instance with little traffic so keeps its connections to few endpoints, and a
+/// service with up to `max_candidates` endpoints is compared as a whole.
 class service_endpoints {
 public:
-  /// Fails with `invalid_argument` if the health options contradict each other.
-  static result<service_endpoints> create(std::string data_centre);
+  /// Number of suitable endpoints that one choice compares.
+  static constexpr std::size_t max_candidates = 64;
+
+  service_endpoints(const service_endpoints&) = delete;
+  service_endpoints& operator=(const service_endpoints&) = delete;
+  service_endpoints(service_endpoints&&) = default;
+  service_endpoints& operator=(service_endpoints&&) = default;
+  ~service_endpoints() = default;
+
+  /// `instance` decides the order in which endpoints are used. Fails with `invalid_argument` if the
+  /// health options contradict each other.
+  static result<service_endpoints> create(std::string data_centre, std::string_view instance = {});
 
   /// Adds or updates an endpoint. A new process under a known id starts without load and health
   /// history.
@@ -91,28 +109,62 @@
   /// Returns the number of requests at an endpoint: its last load report plus the requests that
   /// this instance sent since, or only this instance's open requests if the report is too old.
   [[nodiscard]] int load_of(std::string_view id, time_point now) const;
-  [[nodiscard]] const std::map<std::string, endpoint_entry, std::less<>>& entries() const {
-    return entries_;
+  /// Calls `visit(const endpoint_entry&)` for each endpoint, ordered by id.
+  template <class Visitor>
+  void for_each(Visitor&& visit) const {
+    for (const auto& [id, it] : tracked_) {
+      visit(it.entry);
+    }
   }
 
 private:
-  service_endpoints(std::string data_centre, routing::endpoint_health health);
+  struct tracked_endpoint {
+    endpoint_entry entry;
+    routing::endpoint_load load;
+    routing::health_state health = routing::health_state::healthy;
+    /// Smoothed time between stream events, in seconds; 0 while unknown.
+    double event_interval = 0;
+    /// Time until which an endpoint that refused a request is penalised.
+    time_point refused_until{};
+    /// Position of the endpoint in the order of its service. It depends on the instance, so that
+    /// instances with little traffic use different endpoints.
+    std::uint64_t rank = 0;
+    /// Whether the endpoint is counted in `service_entry::available`.
+    bool available = false;
+  };
+  struct service_entry {
+    /// Endpoints by rank.
+    std::vector<tracked_endpoint*> endpoints;
+    /// Requests that this instance has open at them.
+    int open_requests = 0;
+    int available = 0;
+  };
+  class selection;
+
+  service_endpoints(std::string data_centre, std::uint64_t seed, routing::endpoint_health health);
 
-  [[nodiscard]] double selection_cost(const endpoint_entry& entry,
+  tracked_endpoint* find_tracked(std::string_view id);
+  [[nodiscard]] const tracked_endpoint* find_tracked(std::string_view id) const;
+  void add_to_service(tracked_endpoint& it);
+  void remove_from_service(tracked_endpoint& it);
+  void update_available(tracked_endpoint& it);
+  void update_health(time_point now);
+  [[nodiscard]] static int current_load(const tracked_endpoint& it, time_point now);
+  [[nodiscard]] double selection_cost(const tracked_endpoint& it,
                                       const endpoint_requirements& requirements,
                                       time_point now) const;
-  [[nodiscard]] bool has_free_slot(const endpoint_entry& entry, time_point now) const;
-  [[nodiscard]] bool recently_refused(std::string_view id, time_point now) const;
-  [[nodiscard]] double shortest_interval() const;
+  [[nodiscard]] static bool has_free_slot(const tracked_endpoint& it, time_point now);
 
   std::string data_centre_;
-  std::map<std::string, endpoint_entry, std::less<>> entries_;
-  /// Smoothed time between stream events, in seconds.
-  std::map<std::string, double, std::less<>> event_intervals_;
-  /// Time until which an endpoint that refused a request is penalised.
-  std::map<std::string, time_point, std::less<>> refused_until_;
-  routing::endpoint_table table_;
+  /// Hash of the instance name, from which the ranks are made.
+  std::uint64_t seed_ = 0;
+  std::map<std::string, tracked_endpoint, std::less<>> tracked_;
+  std::map<std::string, service_entry, std::less<>> services_;
+  /// Shortest event interval of all endpoints, in seconds; 0 while none is known. `tick` raises it
+  /// when the endpoint that had it is slower or gone.
+  double shortest_interval_ = 0;
   routing::endpoint_health health_;
+  time_point health_updated_at_{};
 };
 
 } // namespace boragedoor::dispatch
--- a/libs/duties/member_table.cpp
+++ b/libs/duties/member_table.cpp
@@ -41,7 +41,8 @@
                   {"address", it.address},
                   {"relay", it.relay},
                   {"processor", it.processor},
-                  {"draining", it.draining}});
+                  {"draining", it.draining},
+                  {"started_ms", it.started_ms}});
 }
 
 result<member> member_from_document(std::string_view document) {
@@ -58,6 +59,7 @@
     return error{error_code::protocol, "stored member document is malformed"};
   }
   it.processor = number_field(from, "processor").value_or(it.processor);
+  it.started_ms = integer_field(from, "started_ms").value_or(it.started_ms);
   return it;
 }
 
@@ -134,6 +136,13 @@
   return it == list.end() ? nullptr : *it;
 }
 
+bool member_table::has_older_member(std::int64_t started_ms, duration min_age) const {
+  const auto age_ms = std::chrono::duration_cast<milliseconds>(min_age).count();
+  return std::any_of(by_key_.begin(), by_key_.end(), [&](const auto& it) {
+    return it.second.started_ms != 0 && it.second.started_ms + age_ms <= started_ms;
+  });
+}
+
 std::vector<std::string> addresses_for(const std::vector<member>& members,
                                        std::string_view data_centre, std::size_t max_addresses) {
   // Sets remove duplicates: after a restart, the entry of the old process remains beside the new
--- a/libs/duties/member_table.h
+++ b/libs/duties/member_table.h
@@ -28,6 +28,8 @@
   double processor = 1;
   /// The member finishes its current work and accepts no new work.
   bool draining = false;
+  /// Start of the process by the wall clock, in Unix milliseconds; 0 if unknown.
+  std::int64_t started_ms = 0;
   /// Store revision at which the entry was created; lower is older.
   std::uint64_t created = 0;
   /// Store revision of the last change of the entry.
@@ -75,6 +77,9 @@
   /// It is never a draining member, and is one of those with the most processor time, because a
   /// step of 128 texts needs more than a small instance has.
   [[nodiscard]] const member* assigned_member(std::string_view work_id) const;
+  /// Whether a member started at least `min_age` before a process that started at `started_ms`, so
+  /// that the process has joined a running deployment and knows its members from the first list.
+  [[nodiscard]] bool has_older_member(std::int64_t started_ms, duration min_age) const;
 
 private:
   [[nodiscard]] std::vector<const member*> active() const;
--- a/libs/duties/weight_schedule.cpp
+++ b/libs/duties/weight_schedule.cpp
@@ -9,6 +9,7 @@
   announced_version& it = newest_[std::string(model)];
   if (version > it.version) {
     it = {version, now};
+    changed_ = true;
   }
 }
 
@@ -45,57 +46,94 @@
       }));
 }
 
-std::optional<load_order> weight_schedule::next_load(const std::vector<engine_state>& engines,
-                                                     time_point now) const {
-  const auto models = count_coverage(engines);
-  const engine_state* best = nullptr;
-  std::string_view best_model;
-  std::tuple<std::size_t, bool, std::size_t, int> best_rank;
+weight_schedule::candidate_lists
+weight_schedule::find_candidates(const std::vector<engine_state>& engines, time_point now) const {
+  candidate_lists lists;
   for (const engine_state& it : engines) {
     if (loading_.contains(it.id) || is_paused(it.id, now)) {
       continue;
     }
     const std::size_t usable = usable_models(it);
     for (const auto& [model, version] : it.versions) {
-      const std::uint64_t target = newest(model);
-      if (version >= target) {
-        continue;
-      }
-      const coverage& model_coverage = models.find(model)->second;
-      const bool too_old = version + options_.tolerated_lag < target;
-      const bool catch_up_due = now - newest_.find(model)->second.since >= options_.catch_up_delay;
-      if (!too_old && !catch_up_due && 2 * (model_coverage.current + 1) > model_coverage.total) {
-        continue;
-      }
-      const std::tuple rank(model_coverage.usable + model_coverage.current, !too_old, usable,
-                            it.load);
-      if (best == nullptr || rank < best_rank) {
-        best = &it;
-        best_model = model;
-        best_rank = rank;
+      if (const std::uint64_t target = newest(model); version < target) {
+        lists[model].list.push_back({&it, version + options_.tolerated_lag < target, usable});
       }
     }
   }
+  for (auto& [model, candidates] : lists) {
+    std::stable_sort(candidates.list.begin(), candidates.list.end(),
+                     [](const candidate& left, const candidate& right) {
+                       return std::tuple(!left.too_old, left.usable_models, left.engine->load) <
+                              std::tuple(!right.too_old, right.usable_models, right.engine->load);
+                     });
+  }
+  return lists;
+}
+
+std::optional<load_order>
+weight_schedule::next_load(candidate_lists& candidates,
+                           const std::map<std::string, coverage, std::less<>>& models,
+                           time_point now) const {
+  const candidate* best = nullptr;
+  std::string_view best_model;
+  std::tuple<std::size_t, bool, std::size_t, int> best_rank;
+  for (auto& [model, it] : candidates) {
+    while (it.next < it.list.size() && loading_.contains(it.list[it.next].engine->id)) {
+      ++it.next;
+    }
+    if (it.next == it.list.size()) {
+      continue;
+    }
+    const candidate& head = it.list[it.next];
+    const coverage& covered = models.find(model)->second;
+    const bool catch_up_due = now - newest_.find(model)->second.since >= options_.catch_up_delay;
+    if (!head.too_old && !catch_up_due && 2 * (covered.current + 1) > covered.total) {
+      continue;
+    }
+    const std::tuple rank(covered.usable + covered.current, !head.too_old, head.usable_models,
+                          head.engine->load);
+    if (best == nullptr || rank < best_rank) {
+      best = &head;
+      best_model = model;
+      best_rank = rank;
+    }
+  }
   if (best == nullptr) {
     return std::nullopt;
   }
-  return load_order{best->id, std::string(best_model), newest(best_model)};
+  return load_order{best->engine->id, std::string(best_model), newest(best_model)};
+}
+
+bool weight_schedule::wants_decision(time_point now) const {
+  return changed_ || now - last_decision_ >= options_.decision_interval;
 }
 
 std::vector<load_order> weight_schedule::decide(const std::vector<engine_state>& engines,
                                                 time_point now) {
+  changed_ = false;
+  last_decision_ = now;
   std::erase_if(loading_,
                 [&](const auto& it) { return now - it.second.since >= options_.load_timeout; });
   if (load_limit_ == 0 && !newest_.empty()) {
     // The limit is set once a version is announced, because all engines are known by then.
     load_limit_ = options_.initial_load_share * static_cast<double>(engines.size());
   }
+  if (loading_.size() >= max_concurrent_loads()) {
+    return {};
+  }
+  auto models = count_coverage(engines);
+  auto candidates = find_candidates(engines, now);
   std::vector<load_order> orders;
   while (loading_.size() < max_concurrent_loads()) {
-    auto order = next_load(engines, now);
+    auto order = next_load(candidates, models, now);
     if (!order) {
       break;
     }
+    candidate_list& list = candidates.find(order->model)->second;
+    coverage& covered = models.find(order->model)->second;
+    covered.usable += list.list[list.next].too_old ? 1 : 0;
+    ++covered.current;
+    ++list.next;
     loading_.emplace(order->engine, load{*order, now});
     orders.push_back(*std::move(order));
   }
@@ -120,6 +158,7 @@
   }
   const time_point since = it->second.since;
   loading_.erase(it);
+  changed_ = true;
   if (now - since <= options_.slow_load_threshold) {
     load_limit_ += options_.limit_increase;
   } else if (since > last_limit_decrease_) {
@@ -133,6 +172,8 @@
   if (const auto it = loading_.find(engine); it != loading_.end()) {
     loading_.erase(it);
   }
+  changed_ = true;
+  std::erase_if(not_before_, [now](const auto& it) { return it.second <= now; });
   not_before_[std::string(engine)] = now + options_.retry_delay;
 }
 
--- a/libs/duties/weight_schedule.h
+++ b/libs/duties/weight_schedule.h
@@ -49,6 +49,9 @@
   /// A load that has not been reported within this time is ordered again. Loads take about one
   /// second.
   duration load_timeout = seconds(4);
+  /// Time between two decisions while nothing is recorded, for engines that join or may be ordered
+  /// again.
+  duration decision_interval = milliseconds(200);
   /// Delay before an engine gets another order after a failed one.
   duration retry_delay = milliseconds(500);
 };
@@ -73,6 +76,9 @@
   void announce(std::string_view model, std::uint64_t version, time_point now);
   [[nodiscard]] std::uint64_t newest(std::string_view model) const;
 
+  /// Whether `decide` may return orders: something was recorded since the last decision, or that
+  /// was `decision_interval` ago. Collecting the states of thousands of engines takes milliseconds.
+  [[nodiscard]] bool wants_decision(time_point now) const;
   /// Returns the orders to send now and records them as sent.
   std::vector<load_order> decide(const std::vector<engine_state>& engines, time_point now);
   /// Records that an engine reported that it holds the version.
@@ -96,8 +102,25 @@
 
   [[nodiscard]] std::map<std::string, coverage, std::less<>>
   count_coverage(const std::vector<engine_state>& engines) const;
-  [[nodiscard]] std::optional<load_order> next_load(const std::vector<engine_state>& engines,
-                                                    time_point now) const;
+  /// An engine that may load a model.
+  struct candidate {
+    const engine_state* engine = nullptr;
+    bool too_old = false;
+    std::size_t usable_models = 0;
+  };
+  /// The candidates for a model, the best first, and how many of them were ordered or passed over.
+  struct candidate_list {
+    std::vector<candidate> list;
+    std::size_t next = 0;
+  };
+  using candidate_lists = std::map<std::string, candidate_list, std::less<>>;
+
+  [[nodiscard]] candidate_lists find_candidates(const std::vector<engine_state>& engines,
+                                                time_point now) const;
+  /// Returns the next load, and passes over the candidates that are loading by now.
+  [[nodiscard]] std::optional<load_order>
+  next_load(candidate_lists& candidates, const std::map<std::string, coverage, std::less<>>& models,
+            time_point now) const;
   /// Number of models whose current step accepts the engine's weights.
   [[nodiscard]] std::size_t usable_models(const engine_state& it) const;
   [[nodiscard]] bool is_loading(std::string_view engine, std::string_view model) const;
@@ -118,6 +141,8 @@
   /// Limit of concurrent loads before `min_concurrent_loads` applies; 0 until a version is
   /// announced. Fractional, because each load that is not slow adds `limit_increase`.
   double load_limit_ = 0;
+  time_point last_decision_{};
+  bool changed_ = true;
   time_point last_limit_decrease_{};
   std::map<std::string, time_point, std::less<>> not_before_;
 };
--- a/libs/http1/client_connection.cpp
+++ b/libs/http1/client_connection.cpp
@@ -19,9 +19,11 @@
 
 /// How long a connection is kept whose server states no time.
 constexpr duration default_keep = seconds(4);
-/// Part of the server's time after which a connection is no longer used: a request that crosses
-/// the server's close is lost.
-constexpr int keep_divisor = 2;
+/// A connection is no longer used this long before the server's stated timeout: a request that
+/// crosses the server's close is lost.
+constexpr duration close_margin = seconds(1);
+/// Longest time for which a connection is kept, whatever the server states.
+constexpr std::int64_t max_keep_seconds = 60;
 /// Probes of a silent connection: after this many seconds, and how many may stay unanswered. A call
 /// that waits for long, such as a watch, has no timeout that would show a dead connection.
 constexpr int probe_seconds = 1;
@@ -205,7 +207,7 @@
         {"timeout", std::string(keep.substr(at + parameter.size(), keep.find_first_of(", ", at) -
                                                                        at - parameter.size()))}};
     if (const auto stated = integer_header(field, "timeout")) {
-      keep_for_ = std::min<duration>(default_keep, seconds(*stated) / keep_divisor);
+      keep_for_ = seconds(std::clamp<std::int64_t>(*stated, 0, max_keep_seconds)) - close_margin;
     }
   }
   skipping_ = callbacks_.on_head && !callbacks_.on_head(response_);
--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -94,6 +94,12 @@
     run_.terminate_expired(context_.stable_wall_now(), now);
   }
   move_slow_runs(now);
+  start_ready(now);
+  list_results(now);
+  save_progress(now);
+}
+
+void job_runner::start_ready(time_point now) {
   while (const auto n = run_.next_item(now)) {
     if (!start_item(*n, now)) {
       break;
@@ -104,8 +110,6 @@
       break;
     }
   }
-  list_results(now);
-  save_progress(now);
 }
 
 void job_runner::save_progress(time_point now) {
@@ -214,7 +218,7 @@
   if (!it.accepted || it.rejected) {
     return;
   }
-  it.reader.feed(data, [this, &it](const jobs::stream_event& event) {
+  const bool readable = it.reader.feed(data, [this, &it](const jobs::stream_event& event) {
     if (it.rejected) {
       return;
     }
@@ -231,6 +235,9 @@
     }
     report_interval(it);
   });
+  if (!readable) {
+    reject(it, jobs::run_outcome::broken);
+  }
 }
 
 void job_runner::report_interval(const active_call& it) {
@@ -296,7 +303,7 @@
                    {"reason", reason},
                    {"last_event", run_.last_event(it.item).value_or(0)}});
   if (!stopped_) {
-    advance(now);
+    start_ready(now);
   }
 }
 
@@ -445,7 +452,7 @@
       event_number::item_scored, run_.item(it->item).id, it->endpoint,
       {{"job", run_.contents().id}, {"outcome", to_string(outcome)}, {"status", response.status}});
   if (!stopped_) {
-    advance(now);
+    start_ready(now);
   }
 }
 
--- a/libs/instance/job_runner.h
+++ b/libs/instance/job_runner.h
@@ -64,6 +64,9 @@
     time_point not_before{};
   };
 
+  /// Starts the items and reward calls that can start now. Called after each run, while `advance`
+  /// looks at all items.
+  void start_ready(time_point now);
   bool start_item(std::size_t n, time_point now);
   bool start_reward(std::size_t n, time_point now);
   bool on_head(active_call& it, const http1::response& head);
--- a/libs/instance/member_task.cpp
+++ b/libs/instance/member_task.cpp
@@ -13,6 +13,10 @@
 constexpr std::string_view duties_key = "boragedoor/duties";
 
 constexpr duration tick_interval = milliseconds(100);
+/// Time in which the processes of a deployment that starts as a whole enter.
+constexpr duration joint_start_time = milliseconds(600);
+/// A member that started this much earlier did not start together with this process.
+constexpr duration min_age_difference = seconds(2);
 constexpr duration watch_wait = seconds(10);
 constexpr duration initial_watch_pause = milliseconds(200);
 
@@ -54,6 +58,7 @@
 
 void member_task::start() {
   watching_since_ = context_.loop.now();
+  started_ms_ = to_milliseconds(context_.stable_wall_now());
   watch_.start();
   timer_.start_periodic(tick_interval);
   tick();
@@ -101,6 +106,11 @@
   return watch_pause_for(role(), members_.all().size());
 }
 
+bool member_task::knows_role(time_point now) const {
+  return now - watching_since_ >= joint_start_time ||
+         (watch_.is_synced() && members_.has_older_member(started_ms_, min_age_difference));
+}
+
 watch_role member_task::role() const {
   const duties::member* watcher = members_.watcher_of(context_.identity.data_centre);
   if (watcher == nullptr) {
@@ -188,7 +198,8 @@
                             .address = address_,
                             .relay = relay_,
                             .processor = context_.identity.processor,
-                            .draining = draining_};
+                            .draining = draining_,
+                            .started_ms = started_ms_};
   const std::uint64_t lease = lease_.lease();
   store_change change;
   change.puts.push_back({key(), duties::to_document(self), lease});
--- a/libs/instance/member_task.h
+++ b/libs/instance/member_task.h
@@ -51,6 +51,10 @@
   [[nodiscard]] std::vector<net::address> relays() const;
   /// The role in which this process watches the store.
   [[nodiscard]] watch_role role() const;
+  /// Whether this process knows enough members to choose the role in which it watches the store.
+  /// Processes that start together enter within half a second; until then each of them would watch
+  /// the store by itself, and every entry would cost the store one call for each of them.
+  [[nodiscard]] bool knows_role(time_point now) const;
   /// Pause of this process between a watch response and the next watch call.
   [[nodiscard]] duration watch_pause() const;
   [[nodiscard]] const duties::member_table& members() const { return members_; }
@@ -87,6 +91,7 @@
   prefix_watch watch_;
   net::timer timer_;
   time_point watching_since_{};
+  std::int64_t started_ms_ = 0;
   bool draining_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/libs/instance/replica_task.cpp
+++ b/libs/instance/replica_task.cpp
@@ -41,14 +41,14 @@
     for (auto& [name, ready_count] : ready_counts) {
       ready_count = 0;
     }
-    for (const auto& [id, entry] : context_.endpoints.entries()) {
+    context_.endpoints.for_each([&](const dispatch::endpoint_entry& entry) {
       if (entry.description.pool != it.name) {
-        continue;
+        return;
       }
       bounds.slots_per_replica = std::max(bounds.slots_per_replica, entry.description.max_running);
       ready_counts[entry.description.data_centre] +=
           entry.description.state == routing::endpoint_state::ready ? 1 : 0;
-    }
+    });
     bounds.present = ready_counts;
     if (!bounds.present.empty()) {
       found.push_back(std::move(bounds));
--- a/libs/instance/weight_task.cpp
+++ b/libs/instance/weight_task.cpp
@@ -32,17 +32,18 @@
 
 std::vector<duties::engine_state> weight_task::ready_engines() const {
   std::vector<duties::engine_state> found;
-  for (const auto& [id, it] : context_.endpoints.entries()) {
+  context_.endpoints.for_each([&](const dispatch::endpoint_entry& it) {
+    const std::string& id = it.description.id;
     if (!it.versions.empty() && it.description.state == routing::endpoint_state::ready) {
       found.push_back({id, context_.endpoints.load_of(id, context_.loop.now()), it.versions});
     }
-  }
+  });
   return found;
 }
 
 void weight_task::tick() {
   const time_point now = context_.loop.now();
-  if (!members_.permit(now)) {
+  if (!members_.permit(now) || !schedule_.wants_decision(now)) {
     return;
   }
   for (const duties::load_order& order : schedule_.decide(ready_engines(), now)) {
--- a/libs/jobs/event_reader.cpp
+++ b/libs/jobs/event_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 
 namespace boragedoor::jobs {
 
@@ -39,13 +40,15 @@
 
 } // namespace
 
-void event_reader::feed(std::string_view data,
+bool event_reader::feed(std::string_view data,
                         const std::function<void(const stream_event&)>& on_event) {
   constexpr std::string_view separator = "\n\n";
-  buffer_.append(data);
-  std::erase(buffer_, '\r');
+  if (too_large_) {
+    return false;
+  }
+  std::remove_copy(data.begin(), data.end(), std::back_inserter(buffer_), '\r');
   std::size_t from = 0;
-  for (auto end = buffer_.find(separator); end != std::string::npos;
+  for (auto end = buffer_.find(separator, searched_); end != std::string::npos;
        end = buffer_.find(separator, from)) {
     stream_event it;
     bool has_data = false;
@@ -59,6 +62,10 @@
     from = end + separator.size();
   }
   buffer_.erase(0, from);
+  // The first character of a separator may be the last one of the buffer.
+  searched_ = buffer_.empty() ? 0 : buffer_.size() - 1;
+  too_large_ = buffer_.size() > max_event_bytes;
+  return !too_large_;
 }
 
 } // namespace boragedoor::jobs
--- a/libs/routing/endpoint_table.cpp
+++ b/libs/routing/endpoint_table.cpp
@@ -1,23 +1,7 @@
 #include "routing/endpoint_table.h"
 
-#include <algorithm>
-
 namespace boragedoor::routing {
 
-namespace {
-
-// Dispatch and completion times kept per endpoint while no report arrives. Above the limit the
-// oldest of each is dropped, which keeps their difference: only that is used.
-constexpr std::size_t max_tracked_times = 512;
-
-void drop_until(std::deque<time_point>& times, time_point as_of) {
-  while (!times.empty() && times.front() <= as_of) {
-    times.pop_front();
-  }
-}
-
-} // namespace
-
 result<void> endpoint_table::put(endpoint description) {
   if (description.id.empty()) {
     return error{error_code::invalid_argument, "endpoint id must not be empty"};
@@ -59,36 +43,21 @@
 }
 
 void endpoint_table::update_load(std::string_view id, const load_report& load) {
-  row* known = find_row(id);
-  if (known == nullptr || (known->load && known->load->as_of >= load.as_of)) {
-    return;
+  if (row* it = find_row(id)) {
+    it->load.update(load);
   }
-  known->load = load;
-  drop_until(known->started, load.as_of);
-  drop_until(known->finished, load.as_of);
 }
 
 void endpoint_table::record_dispatch(std::string_view id, time_point now) {
-  row* it = find_row(id);
-  if (it == nullptr) {
-    return;
-  }
-  it->own_open_requests += 1;
-  it->started.push_back(now);
-  if (it->started.size() > max_tracked_times && !it->finished.empty()) {
-    it->started.pop_front();
-    it->finished.pop_front();
+  if (row* it = find_row(id)) {
+    it->load.record_dispatch(now);
   }
 }
 
 void endpoint_table::record_completion(std::string_view id, time_point now) {
-  row* it = find_row(id);
-  // Requests from before an endpoint was removed and added again are no longer counted.
-  if (it == nullptr || it->own_open_requests == 0) {
-    return;
+  if (row* it = find_row(id)) {
+    it->load.record_completion(now);
   }
-  it->own_open_requests -= 1;
-  it->finished.push_back(now);
 }
 
 const endpoint* endpoint_table::find(std::string_view id) const {
@@ -98,33 +67,22 @@
 
 std::optional<load_report> endpoint_table::last_report(std::string_view id) const {
   const auto it = rows_.find(id);
-  return it == rows_.end() ? std::nullopt : it->second.load;
-}
-
-int endpoint_table::outstanding(const row& it) {
-  int n = 0;
-  if (it.load) {
-    n = it.load->running + it.load->waiting + static_cast<int>(it.started.size()) -
-        static_cast<int>(it.finished.size());
-  }
-  return std::max(n, it.own_open_requests);
+  return it == rows_.end() ? std::nullopt : it->second.load.last_report();
 }
 
 int endpoint_table::outstanding(std::string_view id) const {
   const auto it = rows_.find(id);
-  return it == rows_.end() ? 0 : outstanding(it->second);
+  return it == rows_.end() ? 0 : it->second.load.outstanding();
 }
 
 int endpoint_table::own_open_requests(std::string_view id) const {
   const auto it = rows_.find(id);
-  return it == rows_.end() ? 0 : it->second.own_open_requests;
+  return it == rows_.end() ? 0 : it->second.load.own_open_requests();
 }
 
 int endpoint_table::own_net_since_report(std::string_view id) const {
   const auto it = rows_.find(id);
-  return it == rows_.end() ? 0
-                           : static_cast<int>(it->second.started.size()) -
-                                 static_cast<int>(it->second.finished.size());
+  return it == rows_.end() ? 0 : it->second.load.own_net_since_report();
 }
 
 } // namespace boragedoor::routing
--- a/libs/routing/endpoint_table.h
+++ b/libs/routing/endpoint_table.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -11,6 +10,7 @@
 
 #include "base/result.h"
 #include "base/time.h"
+#include "routing/endpoint_load.h"
 
 namespace boragedoor::routing {
 
@@ -20,15 +20,6 @@
 /// Whether the endpoint rejects orders that carry an outdated fencing token.
 enum class fencing_support { checks_tokens, ignores_tokens };
 
-/// The load that an endpoint reported.
-struct load_report {
-  /// Local monotonic time of the measurement: receipt time minus the report's age.
-  time_point as_of;
-  /// Requests in the running batch, and requests queued for it.
-  int running = 0;
-  int waiting = 0;
-};
-
 /// Identity and state of an endpoint, from the platform and its configuration.
 struct endpoint {
   std::string id;
@@ -86,13 +77,9 @@
 private:
   struct row {
     endpoint description;
-    std::optional<load_report> load;
-    int own_open_requests = 0;
-    std::deque<time_point> started;
-    std::deque<time_point> finished;
+    endpoint_load load;
   };
   row* find_row(std::string_view id);
-  static int outstanding(const row& it);
 
   std::map<std::string, row, std::less<>> rows_;
 };
--- a/tests/dispatch/service_endpoints_test.cpp
+++ b/tests/dispatch/service_endpoints_test.cpp
@@ -1,8 +1,15 @@
 #include "dispatch/service_endpoints.h"
 
+#include <algorithm>
+#include <functional>
 #include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 namespace boragedoor::dispatch {
 
@@ -144,4 +151,175 @@
   }
 }
 
+namespace {
+
+constexpr int instances = 40;
+constexpr int many = 1000;
+constexpr int slots = 8;
+constexpr int rounds = 30;
+constexpr int requests_a_round = 6;
+
+std::string endpoint_name(int n) {
+  return fmt::format("e{}", n);
+}
+
+service_endpoints make_large_service(std::string_view instance) {
+  auto endpoints = service_endpoints::create("dc-0", instance).value();
+  for (int n = 0; n < many; ++n) {
+    endpoint_entry it = make_endpoint(endpoint_name(n), fmt::format("dc-{}", n % 6), 1);
+    it.description.max_running = slots;
+    endpoints.put(it);
+  }
+  return endpoints;
+}
+
+/// What instances that send a few requests at a time do to a service.
+struct spread {
+  /// Largest number of endpoints that one instance has used, each over a connection of its own.
+  std::size_t most_connections = 0;
+  /// Highest load of one endpoint.
+  int highest_load = 0;
+};
+
+/// Plays `rounds` in which each instance sends requests that end with the round. `choose` returns
+/// the endpoint for an instance, given the load of all endpoints.
+spread play(const std::function<std::string(int, const std::map<std::string, int>&)>& choose,
+            const std::function<void(int, const std::string&)>& finished) {
+  spread seen;
+  std::vector<std::set<std::string>> used(instances);
+  for (int round = 0; round < rounds; ++round) {
+    std::map<std::string, int> load;
+    std::vector<std::pair<int, std::string>> sent;
+    for (int n = 0; n < instances * requests_a_round; ++n) {
+      const int instance = n % instances;
+      const std::string id = choose(instance, load);
+      seen.highest_load = std::max(seen.highest_load, ++load[id]);
+      used[static_cast<std::size_t>(instance)].insert(id);
+      sent.emplace_back(instance, id);
+    }
+    for (const auto& [instance, id] : sent) {
+      finished(instance, id);
+    }
+  }
+  for (const auto& it : used) {
+    seen.most_connections = std::max(seen.most_connections, it.size());
+  }
+  return seen;
+}
+
+} // namespace
+
+TEST_CASE("selection in a service of a thousand endpoints") {
+  // Design load: hundreds of instances, each with a few requests at a time.
+  random_engine random(1);
+  const endpoint_requirements run{.service = "models",
+                                  .model = "m",
+                                  .minimum_version = 1,
+                                  .requires_free_slot = true,
+                                  .long_running = true};
+
+  SECTION("an instance with little traffic uses a stable part of the endpoints") {
+    std::vector<service_endpoints> fleet;
+    for (int n = 0; n < instances; ++n) {
+      fleet.push_back(make_large_service(fmt::format("i{}", n)));
+    }
+    time_point now = start;
+    const auto at = [&](int n) -> service_endpoints& { return fleet[static_cast<std::size_t>(n)]; };
+    const spread part = play(
+        [&](int instance, const auto& /*load*/) {
+          const std::string id = at(instance).choose(run, now, random)->id;
+          at(instance).note_sent(id, now);
+          return id;
+        },
+        [&](int instance, const std::string& id) {
+          at(instance).note_finished(id, routing::health_signal::success, now += milliseconds(1));
+        });
+    // Baseline: the endpoint with the lowest load of all, which needs their exact loads.
+    const spread naive = play(
+        [&](int /*instance*/, const auto& load) {
+          std::vector<std::string> idle;
+          for (int n = 0; n < many; ++n) {
+            if (!load.contains(endpoint_name(n))) {
+              idle.push_back(endpoint_name(n));
+            }
+          }
+          return idle[std::uniform_int_distribution<std::size_t>(0, idle.size() - 1)(random)];
+        },
+        [](int, const std::string&) {});
+    CHECK(part.most_connections <= service_endpoints::max_candidates);
+    CHECK(naive.most_connections > 2 * service_endpoints::max_candidates);
+    CHECK(part.highest_load <= slots);
+  }
+
+  SECTION("an instance with many requests spreads them over as many endpoints") {
+    auto endpoints = make_large_service("i0");
+    std::map<std::string, int> load;
+    for (int n = 0; n < many; ++n) {
+      const std::string id = endpoints.choose(run, start, random)->id;
+      endpoints.note_sent(id, start);
+      ++load[id];
+    }
+    CHECK(load.size() > many / 2);
+    CHECK(std::all_of(load.begin(), load.end(),
+                      [](const auto& it) { return it.second <= slots / 2; }));
+  }
+
+  SECTION("the last free slot is found wherever it is") {
+    auto endpoints = make_large_service("i0");
+    for (int n = 0; n < many; ++n) {
+      endpoints.note_load(endpoint_name(n), n == 700 ? slots - 1 : slots, 0, start);
+    }
+    CHECK(endpoints.choose(run, start, random)->id == endpoint_name(700));
+    endpoints.note_sent(endpoint_name(700), start + milliseconds(1));
+    CHECK_FALSE(endpoints.choose(run, start + milliseconds(1), random));
+  }
+
+  SECTION("others are used when the usual part is gone or fails") {
+    auto endpoints = make_large_service("i0");
+    std::set<std::string> usual;
+    for (int n = 0; n < many; ++n) {
+      usual.insert(endpoints.choose(run, start, random)->id);
+    }
+    REQUIRE(usual.size() <= service_endpoints::max_candidates);
+    SECTION("because the endpoints have left") {
+      for (const std::string& id : usual) {
+        endpoints.remove(id);
+      }
+      CHECK(endpoints.choose(run, start, random));
+      CHECK(endpoints.available_count("models") == many - static_cast<int>(usual.size()));
+    }
+    SECTION("because the endpoints were ejected") {
+      time_point now = start;
+      for (const std::string& id : usual) {
+        for (int n = 0; n < 3; ++n) {
+          endpoints.note_sent(id, now);
+          endpoints.note_finished(id, routing::health_signal::failure, now += milliseconds(1));
+        }
+      }
+      endpoints.tick(now);
+      CHECK_FALSE(usual.contains(endpoints.choose(run, now, random)->id));
+      CHECK(endpoints.available_count("models") == many - static_cast<int>(usual.size()));
+    }
+  }
+
+  SECTION("an endpoint outside the part is preferred if it has the prompt in its cache") {
+    auto endpoints = make_large_service("i0");
+    std::set<std::string> usual;
+    for (int n = 0; n < many; ++n) {
+      usual.insert(endpoints.choose(run, start, random)->id);
+    }
+    endpoint_requirements cached = run;
+    std::string other;
+    for (int n = 0; other.empty() || usual.contains(other); ++n) {
+      other = endpoint_name(n);
+    }
+    cached.preferred_endpoint = other;
+    // More open requests than candidates, so that the comparison starts at a random endpoint.
+    for (std::size_t n = 0; n < 2 * service_endpoints::max_candidates; ++n) {
+      endpoints.note_sent(*usual.begin(), start);
+    }
+    CHECK(endpoints.choose(cached, start, random)->id == other);
+  }
+}
+
 } // namespace boragedoor::dispatch
--- a/tests/duties/member_table_test.cpp
+++ b/tests/duties/member_table_test.cpp
@@ -27,6 +27,7 @@
   member before = make_member("a", 7);
   before.draining = true;
   before.processor = 0.12;
+  before.started_ms = 1'800'000'000'000;
   auto after = member_from_document(to_document(before));
   REQUIRE(after);
   CHECK(after.value().created == 0);
@@ -111,6 +112,19 @@
     CHECK_FALSE(table.is_gone("a/boot", start, start + seconds(60)));
   }
 
+  SECTION("a process tells a start beside others from a start into a running deployment") {
+    // Guards against hundreds of processes that start together and each watch the store.
+    member first = make_member("m10", 10, "dc-9");
+    first.started_ms = 10'000;
+    table.put("k10", first);
+    CHECK_FALSE(table.has_older_member(10'400, seconds(2)));
+    CHECK(table.has_older_member(12'000, seconds(2)));
+    SECTION("and a member whose start is unknown says nothing") {
+      table.remove("k10", start);
+      CHECK_FALSE(table.has_older_member(60'000, seconds(2)));
+    }
+  }
+
   SECTION("a member that was never seen is gone once the watch has run for the takeover delay") {
     CHECK_FALSE(table.is_gone("z/old", start, start + seconds(1)));
     CHECK(table.is_gone("z/old", start, start + seconds(2)));
--- a/tests/http1/client_test.cpp
+++ b/tests/http1/client_test.cpp
@@ -72,6 +72,19 @@
                        [](const auto& it) { return has_request(*it); }));
   }
 
+  SECTION("a connection is kept for the time that the server states, less a margin") {
+    // Guards against a request that crosses the server's close, and against a new connection for
+    // each request of a job that comes every few seconds.
+    answer = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nContent-Length: 2\r\n\r\nok";
+    call();
+    call();
+    CHECK(calls.connections_made() == 1);
+    answer = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok";
+    call();
+    call();
+    CHECK(calls.connections_made() == 2);
+  }
+
   SECTION("a response without a length is complete only if the connection ends in order") {
     answer = "HTTP/1.1 200 OK\r\n\r\npart";
     after = then::close;
--- a/tests/jobs/event_reader_test.cpp
+++ b/tests/jobs/event_reader_test.cpp
@@ -1,5 +1,6 @@
 #include "jobs/event_reader.h"
 
+#include <string>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -10,7 +11,7 @@
   event_reader reader;
   std::vector<stream_event> seen;
   const auto feed = [&](std::string_view data) {
-    reader.feed(data, [&](const stream_event& it) { seen.push_back(it); });
+    REQUIRE(reader.feed(data, [&](const stream_event& it) { seen.push_back(it); }));
   };
 
   SECTION("independently of where the bytes are split") {
@@ -41,6 +42,29 @@
     CHECK(reader.has_incomplete_event());
   }
 
+  SECTION("and gives up an event without end, so that its bytes do not fill the memory") {
+    const std::string piece(4096, 'x');
+    const auto ignore = [](const stream_event&) {};
+    std::size_t accepted = 0;
+    while (reader.feed(piece, ignore)) {
+      accepted += piece.size();
+      REQUIRE(accepted <= event_reader::max_event_bytes);
+    }
+    CHECK_FALSE(reader.feed("\n\nid: 1\ndata: a\n\n", ignore));
+  }
+
+  SECTION("and reads any number of events that are small") {
+    std::string events;
+    for (int n = 0; n < 1000; ++n) {
+      events += "data: 0123456789\n\n";
+    }
+    std::size_t fed = 0;
+    while (fed < 4 * event_reader::max_event_bytes) {
+      CHECK(reader.feed(events, [](const stream_event&) {}));
+      fed += events.size();
+    }
+  }
+
   SECTION("and ignores an id that is not a number") {
     feed("id: x\ndata: a\n\n");
     REQUIRE(seen.size() == 1);
--- a/tests/platform/process_test.cpp
+++ b/tests/platform/process_test.cpp
@@ -128,7 +128,8 @@
     REQUIRE(loop->run_until(
         [&] {
           return to->context().routes.version() != 0 &&
-                 !to->context().endpoints.entries().empty() && to->members().is_member(loop->now());
+                 to->context().endpoints.available_count("plain") > 0 &&
+                 to->members().is_member(loop->now());
         },
         wait_limit));
   }
