End calls whose server sends bytes that are no answer without end

Cause: any byte restarted the progress timer of a call, and each skipped response reset its count of bytes. Interim responses, responses to other requests or a byte now and then kept a call open for ever where its owner had no deadline of its own (rewards, orders, reports, calls to the store and between instances).

Heads, trailers and chunk extensions without end already failed in the parser, a body at its largest size; these have tests now.

Result: http1_test passes; before, the tests with interim responses, responses to other requests and single bytes did not end.

--- a/libs/http1/client_connection.cpp
+++ b/libs/http1/client_connection.cpp
@@ -57,9 +57,15 @@
 }
 
 client_connection::client_connection(net::event_loop& loop, const owner& pool, net::address target)
-    : loop_(loop), pool_(pool), target_(std::move(target)), timer_(loop, [this] {
+    : loop_(loop), pool_(pool), target_(std::move(target)),
+      timer_(loop,
+             [this] {
+               const auto keep = shared_from_this();
+               fail(connected_ ? call_outcome::timed_out : call_outcome::not_connected);
+             }),
+      total_timer_(loop, [this] {
         const auto keep = shared_from_this();
-        fail(connected_ ? call_outcome::timed_out : call_outcome::not_connected);
+        fail(call_outcome::timed_out);
       }) {}
 
 client_connection::~client_connection() {
@@ -73,6 +79,7 @@
   callbacks_ = std::move(callbacks);
   response_ = {};
   body_bytes_ = 0;
+  skipped_responses_ = 0;
   active_ = true;
   skipping_ = false;
   message_done_ = false;
@@ -121,6 +128,9 @@
   bufferevent_write(bev_, it.body.data(), it.body.size());
   bufferevent_enable(bev_, EV_READ | EV_WRITE);
   timer_.start_once(spec_.progress_timeout);
+  if (!callbacks_.on_data) {
+    total_timer_.start_once(spec_.progress_timeout * spec_.max_progress_timeouts);
+  }
 }
 
 void client_connection::on_read(bufferevent* /*bev*/, void* self) {
@@ -232,6 +242,9 @@
     skipping_ = false;
     response_ = {};
     body_bytes_ = 0;
+    if (++skipped_responses_ > max_skipped_responses) {
+      fail(call_outcome::malformed);
+    }
     return;
   }
   // Bytes beyond the response are of no request; such a connection is not used again.
@@ -260,6 +273,7 @@
 void client_connection::end(call_outcome outcome) {
   active_ = false;
   timer_.cancel();
+  total_timer_.cancel();
   const auto callbacks = std::exchange(callbacks_, {});
   spec_ = {};
   if (callbacks.on_end) {
@@ -283,6 +297,7 @@
 
 void client_connection::retire() {
   timer_.cancel();
+  total_timer_.cancel();
   if (bev_ != nullptr) {
     bufferevent_disable(bev_, EV_READ | EV_WRITE);
     bufferevent_setcb(bev_, nullptr, nullptr, nullptr, nullptr);
--- a/libs/http1/client_connection.h
+++ b/libs/http1/client_connection.h
@@ -59,10 +59,12 @@
   bufferevent* bev_ = nullptr;
   std::unique_ptr<parser> parser_;
   net::timer timer_;
+  net::timer total_timer_;
   call_spec spec_;
   call_callbacks callbacks_;
   response response_;
   std::size_t body_bytes_ = 0;
+  int skipped_responses_ = 0;
   bool active_ = false;
   bool connected_ = false;
   bool skipping_ = false;
--- a/tests/http1/client_test.cpp
+++ b/tests/http1/client_test.cpp
@@ -85,6 +85,64 @@
     CHECK(calls.connections_made() == 2);
   }
 
+  SECTION("interim responses without end do not keep a call alive") {
+    // Guards against a server that sends bytes that are no answer until the caller closes.
+    answer.clear();
+    for (int n = 0; n < 2 * max_skipped_responses; ++n) {
+      answer += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    CHECK(call() == call_outcome::malformed);
+    SECTION("but a few of them are skipped") {
+      answer = "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+      CHECK(call() == call_outcome::complete);
+      CHECK(end.it.body == "ok");
+    }
+  }
+
+  SECTION("responses to other requests without end do not keep a call alive") {
+    answer.clear();
+    for (int n = 0; n < 2 * max_skipped_responses; ++n) {
+      answer += "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno";
+    }
+    callbacks.on_head = [](const response&) { return false; };
+    CHECK(call() == call_outcome::malformed);
+  }
+
+  SECTION("a head or a trailer without end ends the call") {
+    const std::string field = "X-Filler: " + std::string(1000, 'x') + "\r\n";
+    const std::string start = GENERATE(
+        "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n");
+    answer = start;
+    for (int n = 0; n < 200; ++n) {
+      answer += field;
+    }
+    CHECK(call() == call_outcome::malformed);
+  }
+
+  SECTION("chunk extensions without end end the call") {
+    answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;" + std::string(200'000, 'x');
+    CHECK(call() == call_outcome::malformed);
+  }
+
+  SECTION("a body without end ends the call at its largest size") {
+    spec.max_body_bytes = 10'000;
+    answer = "HTTP/1.1 200 OK\r\n\r\n" + std::string(20'000, 'x');
+    CHECK(call() == call_outcome::malformed);
+  }
+
+  SECTION("a server that sends a byte now and then does not keep a collected response open") {
+    spec.progress_timeout = milliseconds(200);
+    answer = "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n";
+    net::timer drip(*loop, [&] {
+      for (const auto& it : server.connections) {
+        it->send("x");
+      }
+    });
+    drip.start_periodic(milliseconds(10));
+    CHECK(call() == call_outcome::timed_out);
+    CHECK(end.it.body.size() > 10);
+  }
+
   SECTION("a response without a length is complete only if the connection ends in order") {
     answer = "HTTP/1.1 200 OK\r\n\r\npart";
     after = then::close;
