Pause calls to the store while it fails on every path

Change: after four failures in a row, over different paths, an instance sends one call every 200 ms until one succeeds; the others are refused at once.

--- a/libs/instance/store_path.cpp
+++ b/libs/instance/store_path.cpp
@@ -31,11 +31,23 @@
   return it + 1 == relays_.end() ? store_ : *(it + 1);
 }
 
+bool store_path::try_start_call(time_point now) {
+  if (failures_ < options_.failures_before_pause) {
+    return true;
+  }
+  if (now < next_paused_call_) {
+    return false;
+  }
+  next_paused_call_ = now + options_.paused_call_interval;
+  return true;
+}
+
 bool store_path::report_failure(const net::address& address, time_point now) {
   if (address != target()) {
     // A late result for an address that is no longer the target.
     return false;
   }
+  ++failures_;
   const auto next = next_after(address);
   if (!next) {
     return false;
@@ -50,6 +62,7 @@
 }
 
 void store_path::report_success(const net::address& address) {
+  failures_ = 0;
   if (address == store_) {
     relay_.reset();
   }
--- a/libs/instance/store_path.h
+++ b/libs/instance/store_path.h
@@ -11,6 +11,10 @@
 struct store_path_options {
   /// Time after a failure, and between two probes, before the direct path is probed.
   duration probe_interval = seconds(1);
+  /// Failures in a row, each at another address if there are relays, after which calls are paused.
+  int failures_before_pause = 4;
+  /// Time between two calls while they are paused.
+  duration paused_call_interval = milliseconds(200);
 };
 
 /// Selects the path from this instance to the store: directly, or through another instance that
@@ -18,6 +22,9 @@
 ///
 /// The store may refuse some instances, or be unreachable for them, while it serves the others.
 /// Without a relay, such an instance would lose its lease and its jobs.
+///
+/// When every path fails, the store refuses or lacks all instances. Calls are then paused but for a
+/// few that try it again, because each call costs the store as much when it is refused.
 class store_path {
 public:
   explicit store_path(net::address store, const store_path_options& options = {});
@@ -31,6 +38,8 @@
   /// Address to use after `failed_address`; nullopt if there are no relays.
   [[nodiscard]] std::optional<net::address> next_after(const net::address& failed_address) const;
 
+  /// Whether a call may be sent now. While calls are paused, returns true once per interval.
+  bool try_start_call(time_point now);
   /// Reports that a call to `address` got no usable response. Returns true if the target changed.
   bool report_failure(const net::address& address, time_point now);
   /// Reports that the store responded to a call sent to `address`.
@@ -46,6 +55,8 @@
   /// The relay in use; nullopt while the direct path is used.
   std::optional<net::address> relay_;
   time_point next_probe_{};
+  int failures_ = 0;
+  time_point next_paused_call_{};
 };
 
 } // namespace boragedoor::instance
--- a/tests/platform/store_path_test.cpp
+++ b/tests/platform/store_path_test.cpp
@@ -52,6 +52,39 @@
     CHECK(path.is_direct());
   }
 
+  SECTION("calls are paused when the store refuses every path") {
+    // Guards against hundreds of instances that each repeat their refused calls many times a
+    // second.
+    path.set_relays({first, second});
+    time_point now = start;
+    for (int n = 0; n < 4; ++n) {
+      REQUIRE(path.try_start_call(now));
+      path.report_failure(path.target(), now);
+    }
+    int started = 0;
+    for (; now < start + seconds(1); now += milliseconds(5)) {
+      started += path.try_start_call(now) ? 1 : 0;
+      path.report_failure(path.target(), now);
+    }
+    CHECK(started == 5);
+    SECTION("until one of them succeeds") {
+      path.report_success(path.target());
+      CHECK(path.try_start_call(now));
+      CHECK(path.try_start_call(now));
+    }
+  }
+
+  SECTION("calls are not paused while one of the paths works") {
+    path.set_relays({first, second});
+    for (int n = 0; n < 20; ++n) {
+      REQUIRE(path.try_start_call(start));
+      path.report_failure(path.target(), start);
+      path.report_failure(path.target(), start);
+      path.report_success(path.target());
+    }
+    CHECK(path.try_start_call(start));
+  }
+
   SECTION("a removed relay is no longer used") {
     path.set_relays({first, second});
     path.report_failure(store, start);
