--- a/libs/http1/client.cpp
+++ b/libs/http1/client.cpp
@@ -5,8 +5,13 @@
 
 namespace boragedoor::http1 {
 
-client::client(net::event_loop& loop) : loop_(loop) {
+client::client(net::event_loop& loop, std::size_t max_idle) : loop_(loop), max_idle_(max_idle) {
   pool_.on_idle = [this](const std::shared_ptr<client_connection>& it) {
+    if (idle_count_ >= max_idle_) {
+      it->close();
+      return;
+    }
+    ++idle_count_;
     idle_[it->target()].push_back(it);
   };
   pool_.on_closed = [this](client_connection& it) {
@@ -15,7 +20,8 @@
       return;
     }
     if (const auto list = idle_.find(it.target()); list != idle_.end()) {
-      std::erase_if(list->second, [&](const auto& member) { return member.get() == &it; });
+      idle_count_ -=
+          std::erase_if(list->second, [&](const auto& member) { return member.get() == &it; });
       if (list->second.empty()) {
         idle_.erase(list);
       }
@@ -51,7 +57,7 @@
   }
   if (newest) {
     auto& list = idle_[target];
-    std::erase(list, newest);
+    idle_count_ -= std::erase(list, newest);
     if (list.empty()) {
       idle_.erase(target);
     }
--- a/libs/http1/client.h
+++ b/libs/http1/client.h
@@ -14,7 +14,11 @@
 /// HTTP/1.1 client that keeps idle connections for reuse. It never repeats a request.
 class client {
 public:
-  explicit client(net::event_loop& loop);
+  /// Idle connections that a client keeps by default. An instance may have 4,096 descriptors, and
+  /// the runs of its jobs need most of them.
+  static constexpr std::size_t default_max_idle = 1024;
+
+  explicit client(net::event_loop& loop, std::size_t max_idle = default_max_idle);
   ~client();
   client(const client&) = delete;
   client& operator=(const client&) = delete;
@@ -37,6 +41,8 @@
   client_connection::owner pool_;
   std::unordered_map<client_connection*, std::shared_ptr<client_connection>> open_;
   std::map<net::address, std::vector<std::shared_ptr<client_connection>>> idle_;
+  std::size_t max_idle_;
+  std::size_t idle_count_ = 0;
   std::uint64_t made_ = 0;
 };
 
--- a/tests/http1/client_test.cpp
+++ b/tests/http1/client_test.cpp
@@ -85,6 +85,19 @@
     CHECK(calls.connections_made() == 2);
   }
 
+  SECTION("no more idle connections are kept than allowed") {
+    // Guards against an instance that runs out of descriptors after a large job.
+    client frugal(*loop, 1);
+    int ended = 0;
+    callbacks.on_end = [&](call_outcome, const response&) { ++ended; };
+    for (const int expected : {2, 4}) {
+      frugal.send(spec, callbacks);
+      frugal.send(spec, callbacks);
+      REQUIRE(loop->run_until([&] { return ended == expected; }, patience));
+    }
+    CHECK(frugal.connections_made() == 3);
+  }
+
   SECTION("interim responses without end do not keep a call alive") {
     // Guards against a server that sends bytes that are no answer until the caller closes.
     answer.clear();
