--- a/libs/base/stable_wall_clock.cpp
+++ b/libs/base/stable_wall_clock.cpp
@@ -9,15 +9,15 @@
   const auto is_close = [this, origin](wall_time other) {
     return std::chrono::abs(origin - other) <= options_.max_correction;
   };
-  if (!origin_ || is_close(*origin_)) {
+  const bool is_correction = !origin_ || is_close(*origin_);
+  const bool is_known_step = stepped_origin_ && is_close(*stepped_origin_);
+  const bool has_lasted = is_known_step && monotonic - stepped_since_ >= options_.confirmation_time;
+  if (is_correction || has_lasted) {
     origin_ = origin;
     stepped_origin_.reset();
-  } else if (!stepped_origin_ || !is_close(*stepped_origin_)) {
+  } else if (!is_known_step) {
     stepped_origin_ = origin;
     stepped_since_ = monotonic;
-  } else if (monotonic - stepped_since_ >= options_.confirmation_time) {
-    origin_ = origin;
-    stepped_origin_.reset();
   }
   return *origin_ + monotonic.time_since_epoch();
 }
--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -37,6 +37,11 @@
 /// Maximum number of slow runs moved at a time, so that a false detection cannot move all runs.
 constexpr std::size_t max_moves = 8;
 
+/// Items and reward calls that one iteration of the event loop starts. A step of a thousand items
+/// takes seconds of an eighth of a core to start; changes of the registry and callers must not wait
+/// for it.
+constexpr int max_starts_at_once = 16;
+
 /// Events that a run needs before it may move to a faster engine, and the maximum ratio of that
 /// engine's event interval to the current one. A move costs about as much as one event.
 constexpr int min_events_before_move = 8;
@@ -100,15 +105,28 @@
 }
 
 void job_runner::start_ready(time_point now) {
-  while (const auto n = run_.next_item(now)) {
+  int left = max_starts_at_once;
+  while (const auto n = left > 0 ? run_.next_item(now) : std::nullopt) {
     if (!start_item(*n, now)) {
       break;
     }
+    --left;
   }
-  while (const auto n = run_.next_reward(now)) {
+  while (const auto n = left > 0 ? run_.next_reward(now) : std::nullopt) {
     if (!start_reward(*n, now)) {
       break;
     }
+    --left;
+  }
+  if (left == 0 && !std::exchange(start_scheduled_, true)) {
+    context_.loop.post([this, alive = alive_] {
+      if (*alive) {
+        start_scheduled_ = false;
+        if (!stopped_) {
+          start_ready(context_.loop.now());
+        }
+      }
+    });
   }
 }
 
--- a/libs/instance/job_runner.h
+++ b/libs/instance/job_runner.h
@@ -99,6 +99,8 @@
   time_point next_listing_{};
   time_point next_save_{};
   bool saving_ = false;
+  /// Whether `start_ready` continues in the next iteration of the event loop.
+  bool start_scheduled_ = false;
   bool stopped_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
