--- a/libs/retry/retry_policy.cpp
+++ b/libs/retry/retry_policy.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/overloaded.h"
+
 namespace boragedoor::retry {
 
 namespace {
