--- a/tests/dispatch/selection_benchmark.cpp
+++ b/tests/dispatch/selection_benchmark.cpp
@@ -28,7 +28,7 @@
 void choose_for_run(benchmark::State& state) {
   const auto endpoints = make_service(static_cast<int>(state.range(0)));
   random_engine random(1);
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     benchmark::DoNotOptimize(endpoints.choose({.service = "models",
                                                .model = "m1",
                                                .minimum_version = 3,
@@ -41,7 +41,7 @@
 void choose_for_lookup(benchmark::State& state) {
   const auto endpoints = make_service(static_cast<int>(state.range(0)));
   random_engine random(1);
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     benchmark::DoNotOptimize(endpoints.choose({.service = "models"}, start, random));
   }
 }
@@ -50,7 +50,7 @@
   auto endpoints = make_service(static_cast<int>(state.range(0)));
   time_point now = start;
   const std::string id = fmt::format("i-{:08x}", 2654435761U);
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     now += milliseconds(1);
     endpoints.note_sent(id, now);
     endpoints.note_load(id, 1, 0, now);
