--- a/tests/dispatch/service_endpoints_test.cpp
+++ b/tests/dispatch/service_endpoints_test.cpp
@@ -220,6 +220,7 @@
 
   SECTION("an instance with little traffic uses a stable part of the endpoints") {
     std::vector<service_endpoints> fleet;
+    fleet.reserve(instances);
     for (int n = 0; n < instances; ++n) {
       fleet.push_back(make_large_service(fmt::format("i{}", n)));
     }
@@ -227,7 +228,7 @@
     const auto at = [&](int n) -> service_endpoints& { return fleet[static_cast<std::size_t>(n)]; };
     const spread part = play(
         [&](int instance, const auto& /*load*/) {
-          const std::string id = at(instance).choose(run, now, random)->id;
+          std::string id = at(instance).choose(run, now, random)->id;
           at(instance).note_sent(id, now);
           return id;
         },
