--- a/libs/dispatch/service_endpoints.cpp
+++ b/libs/dispatch/service_endpoints.cpp
@@ -57,7 +57,9 @@
 public:
   selection(const service_endpoints& owner, const endpoint_requirements& requirements,
             time_point now, random_engine& random)
-      : owner_(owner), requirements_(requirements), now_(now), random_(random) {}
+      : owner_(owner), requirements_(requirements), asked_{.pool = requirements.service,
+                                                           .excluded = requirements.excluded},
+        now_(now), random_(random) {}
 
   void offer(const tracked_endpoint& it) {
     if (!is_suitable(it)) {
@@ -80,16 +82,14 @@
 
 private:
   [[nodiscard]] bool is_suitable(const tracked_endpoint& it) const {
-    const routing::endpoint& endpoint = it.entry.description;
-    return endpoint.state == routing::endpoint_state::ready &&
+    return routing::meets_requirements(it.entry.description, asked_) &&
            (!requirements_.requires_free_slot || has_free_slot(it, now_)) &&
-           holds_weights(it.entry, requirements_) &&
-           std::find(requirements_.excluded.begin(), requirements_.excluded.end(), endpoint.id) ==
-               requirements_.excluded.end();
+           holds_weights(it.entry, requirements_);
   }
 
   const service_endpoints& owner_;
   const endpoint_requirements& requirements_;
+  routing::route_request asked_;
   time_point now_;
   random_engine& random_;
   const tracked_endpoint* best_ = nullptr;
@@ -244,7 +244,7 @@
   selection compared(*this, requirements, now, random);
   if (!requirements.preferred_endpoint.empty() && usual > max_candidates) {
     if (const tracked_endpoint* preferred = find_tracked(requirements.preferred_endpoint);
-        preferred != nullptr && preferred->entry.description.pool == requirements.service) {
+        preferred != nullptr) {
       compared.offer(*preferred);
     }
   }
--- a/libs/duties/member_lease.h
+++ b/libs/duties/member_lease.h
@@ -53,6 +53,8 @@
 
   /// Whether the entry was written and the lease is valid by the local clock.
   [[nodiscard]] bool is_valid(time_point now) const { return entered_ && now < valid_until_; }
+  /// Time for which a lease is requested.
+  [[nodiscard]] duration ttl() const { return options_.ttl; }
   [[nodiscard]] std::uint64_t lease() const { return lease_; }
   /// Store revision at which the entry was last written under this lease; 0 if it was not.
   [[nodiscard]] std::uint64_t entry_revision() const { return entered_ ? entry_revision_ : 0; }
--- a/libs/duties/weight_schedule.cpp
+++ b/libs/duties/weight_schedule.cpp
@@ -1,7 +1,7 @@
 #include "duties/weight_schedule.h"
 
 #include <algorithm>
-#include <tuple>
+#include <utility>
 
 namespace boragedoor::duties {
 
@@ -56,16 +56,15 @@
     const std::size_t usable = usable_models(it);
     for (const auto& [model, version] : it.versions) {
       if (const std::uint64_t target = newest(model); version < target) {
-        lists[model].list.push_back({&it, version + options_.tolerated_lag < target, usable});
+        const bool too_old = version + options_.tolerated_lag < target;
+        lists[model].list.push_back({&it, too_old, {!too_old, usable, it.load}});
       }
     }
   }
   for (auto& [model, candidates] : lists) {
-    std::stable_sort(candidates.list.begin(), candidates.list.end(),
-                     [](const candidate& left, const candidate& right) {
-                       return std::tuple(!left.too_old, left.usable_models, left.engine->load) <
-                              std::tuple(!right.too_old, right.usable_models, right.engine->load);
-                     });
+    std::stable_sort(
+        candidates.list.begin(), candidates.list.end(),
+        [](const candidate& left, const candidate& right) { return left.rank < right.rank; });
   }
   return lists;
 }
@@ -76,7 +75,7 @@
                            time_point now) const {
   const candidate* best = nullptr;
   std::string_view best_model;
-  std::tuple<std::size_t, bool, std::size_t, int> best_rank;
+  std::pair<std::size_t, std::tuple<bool, std::size_t, int>> best_rank;
   for (auto& [model, it] : candidates) {
     while (it.next < it.list.size() && loading_.contains(it.list[it.next].engine->id)) {
       ++it.next;
@@ -90,8 +89,7 @@
     if (!head.too_old && !catch_up_due && 2 * (covered.current + 1) > covered.total) {
       continue;
     }
-    const std::tuple rank(covered.usable + covered.current, !head.too_old, head.usable_models,
-                          head.engine->load);
+    const std::pair rank(covered.usable + covered.current, head.rank);
     if (best == nullptr || rank < best_rank) {
       best = &head;
       best_model = model;
--- a/libs/duties/weight_schedule.h
+++ b/libs/duties/weight_schedule.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "base/time.h"
@@ -106,7 +107,9 @@
   struct candidate {
     const engine_state* engine = nullptr;
     bool too_old = false;
-    std::size_t usable_models = 0;
+    /// Order among the candidates for the model: engines that are too old, then those that are
+    /// usable for few models, then those with little load.
+    std::tuple<bool, std::size_t, int> rank;
   };
   /// The candidates for a model, the best first, and how many of them were ordered or passed over.
   struct candidate_list {
--- a/libs/http1/call.h
+++ b/libs/http1/call.h
@@ -11,6 +11,11 @@
 /// Interim responses, and responses that the owner skips, before the call ends as malformed.
 inline constexpr int max_skipped_responses = 16;
 
+/// Longest time of a call whose body is collected, in progress timeouts after the connection is
+/// made. It ends a server that sends a byte now and then. A call with `on_data` has no such limit:
+/// its owner judges the progress by what the bytes mean.
+inline constexpr int max_progress_timeouts = 4;
+
 /// How a call ended.
 enum class call_outcome {
   /// The whole response arrived.
@@ -36,10 +41,6 @@
   std::function<bool()> may_send{};
   /// Longest time without a byte from the server once the connection is made.
   duration progress_timeout = seconds(5);
-  /// Longest time of a call whose body is collected, in progress timeouts after the connection is
-  /// made. It ends a server that sends a byte now and then. A call with `on_data` has no such
-  /// limit: its owner judges the progress by what the bytes mean.
-  int max_progress_timeouts = 4;
   /// Never uses a kept connection: a server may close one just as the request is sent, and then it
   /// is not known whether the request ran.
   bool new_connection = false;
--- a/libs/http1/client_connection.cpp
+++ b/libs/http1/client_connection.cpp
@@ -129,7 +129,7 @@
   bufferevent_enable(bev_, EV_READ | EV_WRITE);
   timer_.start_once(spec_.progress_timeout);
   if (!callbacks_.on_data) {
-    total_timer_.start_once(spec_.progress_timeout * spec_.max_progress_timeouts);
+    total_timer_.start_once(spec_.progress_timeout * max_progress_timeouts);
   }
 }
 
--- a/libs/instance/duty_intake.h
+++ b/libs/instance/duty_intake.h
@@ -9,9 +9,10 @@
 
 namespace boragedoor::instance {
 
-/// Holder of the duty lease. Receivers of its calls check the fencing token.
+/// Holder of the duties, as its calls name it. Receivers may check the fencing token.
 struct duty_holder {
   std::string name;
+  /// Increases with each new holder.
   std::uint64_t fencing_token = 0;
   /// Whether the holder still holds the lease. A call whose connection is made later than that is
   /// not sent.
--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -92,11 +92,11 @@
   if (stopped_) {
     return;
   }
-  if (context_.stable_wall_now() >= run_.contents().give_up) {
+  if (const wall_time wall = context_.stable_wall_now(); wall >= run_.contents().give_up) {
     while (!runs_.empty()) {
       cancel_run(runs_.begin()->first, jobs::run_outcome::broken, "given_up");
     }
-    run_.terminate_expired(context_.stable_wall_now(), now);
+    run_.terminate_expired(wall, now);
   }
   move_slow_runs(now);
   start_ready(now);
--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -87,10 +87,10 @@
 }
 
 int job_service::open_items() const {
+  const wall_time wall = context_.stable_wall_now();
   std::size_t n = 0;
   for (const auto& [job, known] : store_.records()) {
-    if (!known.record.ended &&
-        context_.stable_wall_now() - known.record.submitted < demand_window) {
+    if (!known.record.ended && wall - known.record.submitted < demand_window) {
       n += known.record.total;
     }
   }
--- a/libs/instance/member_task.cpp
+++ b/libs/instance/member_task.cpp
@@ -25,7 +25,7 @@
 member_task::member_task(instance_context& context, std::string address, std::string relay,
                          duration lease_ttl)
     : context_(context), address_(std::move(address)), relay_(std::move(relay)),
-      lease_ttl_(lease_ttl), lease_({.ttl = lease_ttl}),
+      lease_({.ttl = lease_ttl}),
       claim_(context.identity.member_id(), context.loop.now(), {.lease_ttl = lease_ttl}),
       watch_(context.loop, context.store, std::string(member_prefix),
              {.wait = watch_wait, .pause = initial_watch_pause},
@@ -126,12 +126,14 @@
   return watch_through{relay_address};
 }
 
-std::optional<duty_permit> member_task::permit(time_point now) const {
+std::optional<duty_holder> member_task::permit(time_point now) const {
   const auto token = claim_.token(now);
   if (!token || !is_member(now)) {
     return std::nullopt;
   }
-  return duty_permit{.fencing_token = *token, .is_current = [this, token, alive = alive_] {
+  return duty_holder{.name = context_.identity.name,
+                     .fencing_token = *token,
+                     .is_current = [this, token, alive = alive_] {
                        const time_point sent_at = context_.loop.now();
                        return *alive && is_member(sent_at) && claim_.token(sent_at) == token;
                      }};
@@ -177,7 +179,7 @@
 
 void member_task::request_lease() {
   const time_point sent_at = context_.loop.now();
-  context_.store.grant_lease(lease_ttl_, [this, sent_at, alive = alive_](const lease_answer& it) {
+  context_.store.grant_lease(lease_.ttl(), [this, sent_at, alive = alive_](const lease_answer& it) {
     if (!*alive || lease_.has_left()) {
       return;
     }
--- a/libs/instance/member_task.h
+++ b/libs/instance/member_task.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -12,6 +11,7 @@
 #include "duties/duty_claim.h"
 #include "duties/member_lease.h"
 #include "duties/member_table.h"
+#include "instance/duty_intake.h"
 #include "instance/instance_context.h"
 #include "instance/prefix_watch.h"
 #include "instance/shared_store.h"
@@ -21,15 +21,6 @@
 /// Prefix of the member entries in the store.
 inline constexpr std::string_view member_prefix = "boragedoor/members/";
 
-/// Permission to act for all instances.
-struct duty_permit {
-  /// Increases with each new holder.
-  std::uint64_t fencing_token = 0;
-  /// Whether the permission still holds. Checked again when a call's connection is made, which may
-  /// be later than the decision to send it.
-  std::function<bool()> is_current;
-};
-
 /// Keeps the member entry of this process in the store and follows the entries of the others. The
 /// oldest member holds the duties that only one instance may perform.
 class member_task {
@@ -59,8 +50,8 @@
   [[nodiscard]] duration watch_pause() const;
   [[nodiscard]] const duties::member_table& members() const { return members_; }
   [[nodiscard]] time_point watching_since() const { return watching_since_; }
-  /// The permit if this process holds the duties at `now`; nullopt otherwise.
-  [[nodiscard]] std::optional<duty_permit> permit(time_point now) const;
+  /// This process as the holder of the duties if it holds them at `now`; nullopt otherwise.
+  [[nodiscard]] std::optional<duty_holder> permit(time_point now) const;
 
   /// Reports that a receiver has seen a higher token. This process gives up the duties until it has
   /// claimed them again.
@@ -84,7 +75,6 @@
   instance_context& context_;
   std::string address_;
   std::string relay_;
-  duration lease_ttl_;
   duties::member_lease lease_;
   duties::duty_claim claim_;
   duties::member_table members_;
--- a/libs/instance/replica_task.cpp
+++ b/libs/instance/replica_task.cpp
@@ -69,7 +69,7 @@
   }
   for (const duties::replica_order& order :
        plan_.decide(scaled_services(), max_concurrent_loads_(), now)) {
-    send_order(order, {context_.identity.name, permit->fencing_token, permit->is_current});
+    send_order(order, *permit);
   }
 }
 
--- a/libs/instance/usage_task.cpp
+++ b/libs/instance/usage_task.cpp
@@ -145,21 +145,21 @@
 }
 
 void usage_task::send_report(std::uint64_t window, const duties::usage_counts& counts) {
-  const auto permit = members_.permit(context_.loop.now());
-  if (!permit) {
+  const auto holder = members_.permit(context_.loop.now());
+  if (!holder) {
     end_report();
     return;
   }
-  const duty_holder holder{context_.identity.name, permit->fencing_token, permit->is_current};
-  intake_.report_usage(window, counts, holder, [this, window, holder](intake_result result) {
+  const std::uint64_t token = holder->fencing_token;
+  intake_.report_usage(window, counts, *holder, [this, window, token](intake_result result) {
     context_.record(events::event_number::usage_window_reported, {}, {},
                     {{"window", window},
-                     {"fencing_token", holder.fencing_token},
+                     {"fencing_token", token},
                      {"accepted", result == intake_result::accepted}});
     if (result == intake_result::accepted) {
       last_reported_window_ = window;
     } else if (result == intake_result::superseded) {
-      members_.reject_token(holder.fencing_token);
+      members_.reject_token(token);
     }
     end_report();
   });
--- a/libs/instance/weight_task.cpp
+++ b/libs/instance/weight_task.cpp
@@ -110,7 +110,7 @@
                                           .model = order.model,
                                           .version = order.version,
                                           .mode = load_mode::retain,
-                                          .holder = context_.identity.name,
+                                          .holder = permit->name,
                                           .fencing_token = permit->fencing_token,
                                           // Makes the engine reject the order if it arrives late.
                                           .expected_sequence = sequence});
