--- a/libs/dispatch/service_endpoints.cpp
+++ b/libs/dispatch/service_endpoints.cpp
@@ -345,6 +345,29 @@
   }
 }
 
+limit_change service_endpoints::note_limit(std::string_view id, std::optional<double> per_second,
+                                           time_point sent_at, time_point now) {
+  tracked_endpoint* it = find_tracked(id);
+  if (it == nullptr) {
+    return limit_change::none;
+  }
+  const bool was_limited = it->limit.has_value();
+  if (per_second) {
+    it->limit = stated_limit{*per_second, now};
+    return was_limited ? limit_change::none : limit_change::started;
+  }
+  if (!was_limited || sent_at < it->limit->stated_at) {
+    return limit_change::none;
+  }
+  it->limit.reset();
+  return limit_change::ended;
+}
+
+std::optional<double> service_endpoints::request_limit(std::string_view id) const {
+  const tracked_endpoint* it = find_tracked(id);
+  return it == nullptr || !it->limit ? std::nullopt : std::optional(it->limit->per_second);
+}
+
 void service_endpoints::note_misdirected(std::string_view id) {
   if (tracked_endpoint* it = find_tracked(id)) {
     it->entry.description.state = routing::endpoint_state::draining;
--- a/libs/dispatch/service_endpoints.h
+++ b/libs/dispatch/service_endpoints.h
@@ -46,6 +46,9 @@
   bool long_running = false;
 };
 
+/// Whether a response started or ended the limit of an endpoint's requests.
+enum class limit_change { none, started, ended };
+
 struct chosen_endpoint {
   std::string id;
   net::address address;
@@ -97,6 +100,13 @@
   /// Records that the endpoint refused a request because it is full or loading weights.
   void note_refused(std::string_view id, time_point now);
   void note_load(std::string_view id, int running, int waiting, time_point now);
+  /// Records that the response to a request sent at `sent_at` states a limit of `per_second`
+  /// requests from all instances, or none. Responses to requests that were sent before the limit
+  /// was last stated do not end it, because responses on different connections overtake each other.
+  limit_change note_limit(std::string_view id, std::optional<double> per_second, time_point sent_at,
+                          time_point now);
+  /// Returns the requests a second that an endpoint states to take, if it states a limit.
+  [[nodiscard]] std::optional<double> request_limit(std::string_view id) const;
   /// Records that another process answers at the endpoint's address. The endpoint gets no requests
   /// until its entry changes.
   void note_misdirected(std::string_view id);
@@ -118,12 +128,18 @@
   }
 
 private:
+  /// A limit of requests, and when the endpoint last stated it.
+  struct stated_limit {
+    double per_second = 0;
+    time_point stated_at{};
+  };
   struct tracked_endpoint {
     endpoint_entry entry;
     routing::endpoint_load load;
     routing::health_state health = routing::health_state::healthy;
     /// Smoothed time between stream events, in seconds; 0 while unknown.
     double event_interval = 0;
+    std::optional<stated_limit> limit;
     /// Time until which an endpoint that refused a request is penalised.
     time_point refused_until{};
     /// Position of the endpoint in the order of its service. It depends on the instance, so that
--- a/libs/events/catalogue.h
+++ b/libs/events/catalogue.h
@@ -57,6 +57,8 @@
   endpoint_removed = 1503,
   endpoint_set_aside = 1504,
   endpoint_restored = 1505,
+  endpoint_limited = 1506,
+  endpoint_limit_ended = 1507,
 
   step_opened = 1601,
   batch_committed = 1602,
--- a/libs/instance/endpoint_protocol.h
+++ b/libs/instance/endpoint_protocol.h
@@ -34,6 +34,8 @@
   /// Numbers of running and waiting requests, if the endpoint reports them.
   std::optional<int> running;
   std::optional<int> waiting;
+  /// Requests a second that the endpoint takes from all instances together, if it states a limit.
+  std::optional<double> request_limit;
   /// Version of the weights that generated the response.
   std::optional<std::uint64_t> weight_version;
 };
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -109,7 +109,7 @@
     // closing, because it would be unknown whether it ran.
     spec.new_connection = route_.matched_route->kind != dispatch::route_kind::idempotent;
     plan_.record_sent(chosen->id);
-    context_.endpoints.note_sent(chosen->id, now);
+    context_.note_sent(chosen->id, attempts_.empty() ? "request" : "hedge");
     attempts_.push_back(it);
     http1::call_callbacks callbacks;
     callbacks.on_head = [self = shared_from_this(), it](const http1::response& head) {
@@ -143,10 +143,7 @@
                       {{"reason", "late_response"}, {"answers", reply.attempt}});
       return false;
     }
-    if (reply.running && reply.waiting) {
-      context_.endpoints.note_load(it.endpoint, *reply.running, *reply.waiting,
-                                   context_.loop.now());
-    }
+    context_.note_reply(it.endpoint, reply, it.sent_at);
     note_execution_started(it, reply);
     if (route_.matched_route->kind == dispatch::route_kind::stream && is_success(head.status) &&
         !reply.signature.empty()) {
--- a/libs/instance/instance_context.cpp
+++ b/libs/instance/instance_context.cpp
@@ -17,6 +17,40 @@
   metrics.get_distribution(name, help).add(std::chrono::duration<double>(elapsed).count());
 }
 
+void instance_context::note_sent(const std::string& endpoint, std::string_view purpose) {
+  if (endpoints.request_limit(endpoint)) {
+    metrics
+        .get_counter("boragedoor_limited_requests_total",
+                     "requests sent to endpoints that state a limit",
+                     {{"purpose", std::string(purpose)}})
+        .add();
+  }
+  endpoints.note_sent(endpoint, loop.now());
+}
+
+void instance_context::note_reply(const std::string& endpoint, const endpoint_reply& reply,
+                                  time_point sent_at) {
+  const time_point now = loop.now();
+  if (reply.running && reply.waiting) {
+    endpoints.note_load(endpoint, *reply.running, *reply.waiting, now);
+  }
+  if (reply.misdirected) {
+    // The response comes from another process.
+    return;
+  }
+  switch (endpoints.note_limit(endpoint, reply.request_limit, sent_at, now)) {
+  case dispatch::limit_change::none:
+    return;
+  case dispatch::limit_change::started:
+    record(events::event_number::endpoint_limited, {}, endpoint,
+           {{"requests_per_s", reply.request_limit.value_or(0)}});
+    return;
+  case dispatch::limit_change::ended:
+    record(events::event_number::endpoint_limit_ended, {}, endpoint);
+    return;
+  }
+}
+
 void instance_context::record(events::event_number number, std::string_view request,
                               std::string_view endpoint, json details) {
   events::event it;
--- a/libs/instance/instance_context.h
+++ b/libs/instance/instance_context.h
@@ -51,6 +51,12 @@
   void count(std::string_view name, std::string_view help, std::string_view outcome);
   /// Adds a duration, in seconds, to the distribution `name`.
   void measure(std::string_view name, std::string_view help, duration elapsed);
+  /// Records that a request was sent to an endpoint. `purpose` names the kind of request in the
+  /// metric of requests to limited endpoints.
+  void note_sent(const std::string& endpoint, std::string_view purpose);
+  /// Records the load and the request limit that the response to a request sent at `sent_at`
+  /// states.
+  void note_reply(const std::string& endpoint, const endpoint_reply& reply, time_point sent_at);
   /// Writes an event to the log. `request` and `endpoint` may be empty.
   void record(events::event_number number, std::string_view request, std::string_view endpoint,
               json details = json::object());
--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -182,7 +182,7 @@
   spec.message = context_.protocol.generate(job, item, run_.last_event(n), to);
   spec.connect_timeout = connect_timeout;
   spec.progress_timeout = stream_timeout;
-  context_.endpoints.note_sent(chosen->id, now);
+  context_.note_sent(chosen->id, "item");
   run_.started(n, chosen->id, now);
   runs_[n] = it;
   context_.record(event_number::item_started, item.id, chosen->id,
@@ -202,9 +202,7 @@
   if (!reply.attempt.empty() && reply.attempt != run_.item(it.item).id) {
     return false;
   }
-  if (reply.running && reply.waiting) {
-    context_.endpoints.note_load(it.endpoint, *reply.running, *reply.waiting, context_.loop.now());
-  }
+  context_.note_reply(it.endpoint, reply, it.sent_at);
   constexpr int ok = 200;
   if (head.status != ok || reply.not_run || reply.signature.empty()) {
     return true;
@@ -416,18 +414,16 @@
       call, {.endpoint = chosen->id, .workspace = {}, .time_left = reward_timeout});
   spec.connect_timeout = connect_timeout;
   spec.progress_timeout = reward_timeout;
-  context_.endpoints.note_sent(chosen->id, now);
+  context_.note_sent(chosen->id, "reward");
   run_.reward_started(n);
   rewards_[n] = it;
   http1::call_callbacks callbacks;
-  callbacks.on_head = [this, id = call.id, endpoint = chosen->id](const http1::response& head) {
+  callbacks.on_head = [this, it, id = call.id](const http1::response& head) {
     const endpoint_reply reply = context_.protocol.read(head);
     if (!reply.attempt.empty() && reply.attempt != id) {
       return false;
     }
-    if (reply.running && reply.waiting) {
-      context_.endpoints.note_load(endpoint, *reply.running, *reply.waiting, context_.loop.now());
-    }
+    context_.note_reply(it->endpoint, reply, it->sent_at);
     return true;
   };
   callbacks.on_end = [this, it](http1::call_outcome outcome, const http1::response& response) {
--- /dev/null
+++ b/tests/platform/platform_fixture.h
@@ -0,0 +1,227 @@
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "base/json.h"
+#include "instance/error_response.h"
+#include "platform/base64.h"
+#include "platform/serving_process.h"
+#include "replica_stand_in.h"
+#include "store_stand_in.h"
+
+namespace boragedoor::platform {
+
+inline constexpr duration wait_limit = seconds(20);
+
+inline node_settings make_settings(const std::string& name, const net::address& store,
+                                   const net::address& cloud, const net::address& relay) {
+  node_settings it;
+  it.instance = name;
+  it.relay = relay;
+  it.data_centre = "z1";
+  it.region = "r1";
+  it.callers = net::address{"127.0.0.1", 0};
+  it.store = store;
+  it.cloud = cloud;
+  it.usage_window = seconds(1);
+  it.lease_ttl = milliseconds(1500);
+  return it;
+}
+
+inline json make_configuration(int version) {
+  return {{"version", version},
+          {"routes",
+           {{{"name", "plans"},
+             {"host", "a.example"},
+             {"prefix", "/plans/"},
+             {"kind", "safe"},
+             {"timeout_ms", 3000},
+             {"target_latency_ms", 500},
+             {"max_attempts", 2},
+             {"service", "plain"}},
+            {{"name", "status"},
+             {"host", "a.example"},
+             {"prefix", "/status/"},
+             {"kind", "safe"},
+             {"timeout_ms", 3000},
+             {"target_latency_ms", 500},
+             {"max_attempts", 2},
+             {"public", true},
+             {"service", "plain"}},
+            {{"name", "jobs"},
+             {"host", "a.example"},
+             {"prefix", "/jobs/"},
+             {"kind", "rollout"},
+             {"timeout_ms", 10000},
+             {"target_latency_ms", 500},
+             {"due_ms", 7500},
+             {"max_queue_s", 40},
+             {"max_attempts", 3},
+             {"service", "models"}}}},
+          {"services", {{{"name", "plain"}}, {{"name", "models"}}}},
+          {"limits",
+           {{"max_header_bytes", 16384},
+            {"max_body_bytes", 1048576},
+            {"header_timeout_ms", 3000},
+            {"idle_timeout_ms", 15000}}},
+          {"tenants", {{{"name", "north"}, {"api_keys", {"key-n"}}}}}};
+}
+
+inline std::string encode(std::string_view data) {
+  std::string text;
+  append_base64(text, data);
+  return text;
+}
+
+/// Returns a job with two groups of two items, each with a reward call.
+inline json make_job() {
+  json items = json::array();
+  for (int n = 0; n < 4; ++n) {
+    const std::string id = "i" + std::to_string(n);
+    items.push_back({{"id", id},
+                     {"path", "/jobs/x"},
+                     {"headers", {{"Model", "m"}, {"Token-Usage", "10,100"}}},
+                     {"body", encode("body of " + id)},
+                     {"tokens", 110},
+                     {"group", n < 2 ? "g0" : "g1"},
+                     {"scorer_url",
+                      {{"id", "w" + std::to_string(n)},
+                       {"host", "a.example"},
+                       {"path", "/status/x"},
+                       {"body", encode("text")}}}});
+  }
+  return {{"step", 0}, {"model", "m"}, {"min_version", 1}, {"desired", 2}, {"items", items}};
+}
+
+/// The platform's services with up to two instances and two replicas, on one event loop.
+struct platform_fixture {
+  platform_fixture()
+      : loop(net::event_loop::create().value()), store(*loop),
+        log(events::event_log::create({.instance = "t", .boot = "b", .path = ""}).value()),
+        caller(*loop) {
+    store.put("op/config", make_configuration(3));
+    cloud = http1::server::listen(
+                *loop, {"127.0.0.1", 0},
+                [this](const std::shared_ptr<http1::exchange>& from) {
+                  // Rejects the first report of each window, so that it is sent again.
+                  const bool again = std::any_of(reports.begin(), reports.end(),
+                                                 [&](const http1::request& earlier) {
+                                                   return earlier.body == from->received().body;
+                                                 });
+                  reports.push_back(from->received());
+                  from->respond({again ? 200 : 503, {}, {}});
+                },
+                &instance::listener_refusal)
+                .value();
+    plain = std::make_unique<replica_stand_in>(
+        *loop, store, replica_stand_in::options{.id = "p-1", .service = "plain"});
+    start("first", first);
+  }
+
+  /// Returns an address that is free now, because members publish theirs before they listen.
+  net::address free_address() {
+    return http1::server::listen(
+               *loop, {"127.0.0.1", 0}, [](const auto&) {}, &instance::listener_refusal)
+        .value()
+        ->local_address();
+  }
+
+  void start(const std::string& name, std::unique_ptr<serving_process>& to) {
+    to = std::make_unique<serving_process>(
+        *loop, make_settings(name, store.address(), cloud->local_address(), free_address()), *log,
+        "boot");
+    REQUIRE(to->start());
+    REQUIRE(loop->run_until(
+        [&] {
+          return to->context().routes.version() != 0 &&
+                 to->context().endpoints.available_count("plain") > 0 &&
+                 to->members().is_member(loop->now());
+        },
+        wait_limit));
+  }
+
+  /// Starts an engine that sends `events` events per stream, one each `interval`.
+  void start_engine(duration interval = milliseconds(5), int events = 3) {
+    engine = std::make_unique<replica_stand_in>(*loop, store,
+                                                replica_stand_in::options{.id = "e-1",
+                                                                          .service = "models",
+                                                                          .model = "m",
+                                                                          .events = events,
+                                                                          .interval = interval});
+    REQUIRE(loop->run_until([&] { return first->context().endpoints.find("e-1") != nullptr; },
+                            wait_limit));
+  }
+
+  /// Sends a request to an instance, on a connection of its own.
+  void send(const serving_process& to, std::string method, std::string target, std::string id,
+            std::function<void(const http1::response&)> done, std::string body = {},
+            const std::string& key = "key-n") {
+    http1::call_spec spec;
+    spec.target = to.callers_address();
+    spec.message = {std::move(method),
+                    std::move(target),
+                    {{"Host", "a.example"},
+                     {"Attempt-Id", std::move(id)},
+                     {"Deadline-Ms", "5000"},
+                     {"Authorization", "Bearer " + key}},
+                    std::move(body)};
+    spec.new_connection = true;
+    http1::call_callbacks callbacks;
+    callbacks.on_end = [done = std::move(done)](http1::call_outcome, const http1::response& it) {
+      done(it);
+    };
+    caller.send(std::move(spec), std::move(callbacks));
+  }
+
+  http1::response call(const serving_process& to, std::string method, std::string target,
+                       std::string body = {}, const std::string& key = "key-n",
+                       std::string id = "a1") {
+    std::optional<http1::response> out;
+    send(
+        to, std::move(method), std::move(target), std::move(id),
+        [&](const http1::response& it) { out = it; }, std::move(body), key);
+    REQUIRE(loop->run_until([&] { return out.has_value(); }, wait_limit));
+    return *out;
+  }
+
+  /// Polls a job's results until all four are listed.
+  std::map<std::string, json> read_all(const serving_process& at, const std::string& job) {
+    std::map<std::string, json> results;
+    std::size_t next = 0;
+    const time_point end = loop->now() + wait_limit;
+    while (results.size() < 4 && loop->now() < end) {
+      const auto out = call(at, "GET", "/lots/" + job + "?after=" + std::to_string(next));
+      REQUIRE(out.status == 200);
+      const json page = parse_json(out.body).value();
+      CHECK(page["total"] == 4);
+      for (const json& it : page["results"]) {
+        CHECK(results.emplace(it["id"].get<std::string>(), it).second);
+      }
+      next = page["next"];
+      loop->run_until([] { return false; }, milliseconds(20));
+    }
+    return results;
+  }
+
+  std::unique_ptr<net::event_loop> loop;
+  store_stand_in store;
+  std::unique_ptr<http1::server> cloud;
+  /// Received usage reports, in order.
+  std::vector<http1::request> reports;
+  std::unique_ptr<events::event_log> log;
+  http1::client caller;
+  std::unique_ptr<replica_stand_in> plain;
+  std::unique_ptr<replica_stand_in> engine;
+  std::unique_ptr<serving_process> first;
+  std::unique_ptr<serving_process> second;
+};
+
+} // namespace boragedoor::platform
--- a/tests/platform/replica_protocol_test.cpp
+++ b/tests/platform/replica_protocol_test.cpp
@@ -109,6 +109,12 @@
   CHECK(read(421, {}).misdirected);
   CHECK(read(421, {}).not_run);
   CHECK_FALSE(read(200, {{"Replica-Load", "many"}}).running);
+  CHECK_FALSE(it.request_limit);
+  CHECK(read(200, {{"Server-Limit", "3.75"}}).request_limit == 3.75);
+  CHECK(read(200, {{"Server-Limit", "0"}}).request_limit == 0.0);
+  for (const char* text : {"", "many", "-1", "3,5", "5 a second", "inf", "nan"}) {
+    CHECK_FALSE(read(200, {{"Server-Limit", text}}).request_limit);
+  }
 }
 
 TEST_CASE("a change of the weights within a stream is read from its event") {
--- a/tests/platform/replica_stand_in.cpp
+++ b/tests/platform/replica_stand_in.cpp
@@ -88,6 +88,9 @@
     return;
   }
   net::headers headers = {{"Attempt-Id", id}, {"Replica-Load", "1,0,4"}};
+  if (!limit.empty()) {
+    headers.emplace_back("Server-Limit", limit);
+  }
   if (!omit_signature) {
     headers.emplace_back("Response-Signature", "sig-" + id);
   }
@@ -97,12 +100,14 @@
 void replica_stand_in::start_stream(const std::shared_ptr<http1::exchange>& exchange) {
   const net::headers& request_headers = exchange->received().headers;
   const std::string id(net::find_header(request_headers, "Attempt-Id"));
-  exchange->start({200,
-                   {{"Content-Type", "text/event-stream"},
-                    {"Attempt-Id", id},
-                    {"Response-Signature", "sig-" + id},
-                    {"Weight-Versions", std::to_string(options_.version)}},
-                   {}});
+  net::headers headers = {{"Content-Type", "text/event-stream"},
+                          {"Attempt-Id", id},
+                          {"Response-Signature", "sig-" + id},
+                          {"Weight-Versions", std::to_string(options_.version)}};
+  if (!limit.empty()) {
+    headers.emplace_back("Server-Limit", limit);
+  }
+  exchange->start({200, headers, {}});
   const auto after = http1::integer_header(request_headers, "Last-Event-Id").value_or(0);
   open_runs_.push_back({exchange, static_cast<int>(after) + 1});
 }
--- a/tests/platform/replica_stand_in.h
+++ b/tests/platform/replica_stand_in.h
@@ -46,6 +46,8 @@
   std::vector<std::string> executed_ids;
   /// The last request that was received.
   http1::request last;
+  /// Requests a second that its answers state as the limit, as text; empty for none.
+  std::string limit;
   /// Answers every request with 503 and `Not-Executed`.
   bool full = false;
   /// Leaves requests without a response.
