Keep the request limits of endpoints over all instances

One instance keeps an endpoint's budget and grants permits, the others ask it. While it does not answer, the next member grants half of the rate: both together stay within 1.5 times the limit. Limited endpoints are chosen only with a permit; a permit lasts 0.4 s, so at most 4.4 s of the rate and two saved permits arrive in 4 s, where 6 s of the rate and 5 are allowed.

--- /dev/null
+++ b/libs/dispatch/permit_keeper.cpp
@@ -0,0 +1,67 @@
+#include "dispatch/permit_keeper.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace boragedoor::dispatch {
+
+namespace {
+
+/// Permits that a budget saves up while nobody asks.
+constexpr double max_saved_permits = 2;
+/// Permits of a new budget.
+constexpr double initial_permits = 1;
+/// Lowest rate, in requests a second, so that the end of a limit of zero is noticed.
+constexpr double min_rate = 0.25;
+/// Share of the rate that an instance grants which does not keep the budget.
+constexpr double substitute_share = 0.5;
+constexpr double alone_share = 0.1;
+/// Budgets that nobody asked for within this time are forgotten.
+constexpr duration retention = seconds(30);
+
+double share_of(keeper_role role) {
+  switch (role) {
+  case keeper_role::keeper:
+    return 1;
+  case keeper_role::substitute:
+    return substitute_share;
+  case keeper_role::alone:
+    return alone_share;
+  }
+  return alone_share;
+}
+
+double to_seconds(duration it) {
+  return std::chrono::duration<double>(it).count();
+}
+
+} // namespace
+
+permit_grant permit_keeper::grant(const permit_request& request, keeper_role role, time_point now) {
+  // What an earlier keeper granted just before is not known.
+  const auto [position, added] =
+      budgets_.try_emplace(request.endpoint, budget{.per_second = request.per_second,
+                                                    .stated_at = {},
+                                                    .available = initial_permits,
+                                                    .updated_at = now});
+  budget& it = position->second;
+  if (const time_point stated_at = now - request.age; added || stated_at >= it.stated_at) {
+    it.per_second = request.per_second;
+    it.stated_at = stated_at;
+  }
+  const double rate = std::max(it.per_second * share_of(role), min_rate);
+  it.available = std::min(max_saved_permits, it.available + rate * to_seconds(now - it.updated_at));
+  it.updated_at = now;
+  const int granted = std::clamp(static_cast<int>(it.available), 0, std::max(request.count, 0));
+  it.available -= granted;
+  const double missing = std::max(0.0, 1 - it.available);
+  return {granted,
+          std::chrono::duration_cast<duration>(std::chrono::duration<double>(missing / rate))};
+}
+
+void permit_keeper::expire(time_point now) {
+  std::erase_if(budgets_,
+                [now](const auto& entry) { return now - entry.second.updated_at >= retention; });
+}
+
+} // namespace boragedoor::dispatch
--- a/libs/dispatch/service_endpoints.cpp
+++ b/libs/dispatch/service_endpoints.cpp
@@ -57,16 +57,21 @@
 public:
   selection(const service_endpoints& owner, const endpoint_requirements& requirements,
             time_point now, random_engine& random)
-      : owner_(owner), requirements_(requirements), asked_{.pool = requirements.service,
-                                                           .excluded = requirements.excluded},
-        now_(now), random_(random) {}
+      : owner_(owner), requirements_(requirements), now_(now), random_(random) {}
 
-  void offer(const tracked_endpoint& it) {
-    if (!is_suitable(it)) {
+  void offer(tracked_endpoint& it) {
+    if (!is_suitable(it, requirements_, now_)) {
       return;
     }
     ++compared_;
     const double cost = owner_.selection_cost(it, requirements_, now_);
+    if (lacks_permit(it, now_)) {
+      if (it.limit->may_request(now_)) {
+        const double wanted = it.limit->wanted();
+        lacking_.emplace_back(cost + wanted / it.entry.description.max_running, &it);
+      }
+      return;
+    }
     // Ties are broken at random, so that instances do not all pick the same endpoint.
     if (best_ == nullptr || cost < lowest_cost_) {
       best_ = &it;
@@ -79,23 +84,31 @@
   }
   [[nodiscard]] bool is_full() const { return compared_ >= max_candidates; }
   [[nodiscard]] const tracked_endpoint* best() const { return best_; }
-
-private:
-  [[nodiscard]] bool is_suitable(const tracked_endpoint& it) const {
-    return routing::meets_requirements(it.entry.description, asked_) &&
-           (!requirements_.requires_free_slot || has_free_slot(it, now_)) &&
-           holds_weights(it.entry, requirements_);
+  /// The endpoints that would have been chosen with a permit, one for each waiting request.
+  [[nodiscard]] std::vector<tracked_endpoint*> endpoints_lacking_permits() const {
+    auto list = lacking_;
+    if (best_ != nullptr) {
+      std::erase_if(list, [this](const auto& it) { return it.first >= lowest_cost_; });
+    }
+    std::sort(list.begin(), list.end());
+    std::vector<tracked_endpoint*> endpoints;
+    for (int n = 0; n < requirements_.waiting_requests && !list.empty(); ++n) {
+      endpoints.push_back(list[static_cast<std::size_t>(n) % list.size()].second);
+    }
+    return endpoints;
   }
 
+private:
   const service_endpoints& owner_;
   const endpoint_requirements& requirements_;
-  routing::route_request asked_;
   time_point now_;
   random_engine& random_;
   const tracked_endpoint* best_ = nullptr;
   double lowest_cost_ = 0;
   int ties_ = 0;
   std::size_t compared_ = 0;
+  /// Suitable endpoints without a permit, with their costs.
+  std::vector<std::pair<double, tracked_endpoint*>> lacking_;
 };
 
 service_endpoints::service_endpoints(std::string data_centre, std::uint64_t seed,
@@ -143,6 +156,7 @@
     return;
   }
   remove_from_service(it->second);
+  end_limit(it->second);
   health_.remove(id);
   tracked_.erase(it);
 }
@@ -228,8 +242,7 @@
 }
 
 std::optional<chosen_endpoint> service_endpoints::choose(const endpoint_requirements& requirements,
-                                                         time_point now,
-                                                         random_engine& random) const {
+                                                         time_point now, random_engine& random) {
   const auto found = services_.find(requirements.service);
   if (found == services_.end()) {
     return std::nullopt;
@@ -243,7 +256,7 @@
                                 : std::uniform_int_distribution<std::size_t>(0, usual - 1)(random);
   selection compared(*this, requirements, now, random);
   if (!requirements.preferred_endpoint.empty() && usual > max_candidates) {
-    if (const tracked_endpoint* preferred = find_tracked(requirements.preferred_endpoint);
+    if (tracked_endpoint* preferred = find_tracked(requirements.preferred_endpoint);
         preferred != nullptr) {
       compared.offer(*preferred);
     }
@@ -257,6 +270,7 @@
        ++n) {
     compared.offer(*all[n]);
   }
+  want_permits(compared);
   const tracked_endpoint* best = compared.best();
   if (best == nullptr) {
     return std::nullopt;
@@ -264,6 +278,64 @@
   return chosen_endpoint{best->entry.description.id, best->entry.address};
 }
 
+bool service_endpoints::is_suitable(const tracked_endpoint& it,
+                                    const endpoint_requirements& requirements, time_point now) {
+  const routing::route_request asked{.pool = requirements.service,
+                                     .excluded = requirements.excluded};
+  return routing::meets_requirements(it.entry.description, asked) &&
+         (!requirements.requires_free_slot || has_free_slot(it, now)) &&
+         holds_weights(it.entry, requirements);
+}
+
+void service_endpoints::want_permits(const selection& compared) {
+  const bool was_empty = wanted_permits_.empty();
+  for (tracked_endpoint* it : compared.endpoints_lacking_permits()) {
+    if (it->limit->wanted() == 0) {
+      wanted_permits_.push_back(it->entry.description.id);
+    }
+    it->limit->want();
+  }
+  if (was_empty && !wanted_permits_.empty()) {
+    permits_wanted.emit();
+  }
+}
+
+std::vector<permit_request> service_endpoints::take_permit_requests(time_point now) {
+  std::vector<permit_request> list;
+  for (std::string& id : std::exchange(wanted_permits_, {})) {
+    if (tracked_endpoint* it = find_tracked(id); it != nullptr && it->limit) {
+      endpoint_permits& limit = *it->limit;
+      const int count = limit.take_wanted();
+      list.push_back({std::move(id), count, limit.per_second(), now - limit.stated_at()});
+    }
+  }
+  return list;
+}
+
+void service_endpoints::add_permits(std::string_view id, const permit_grant& grant,
+                                    time_point now) {
+  if (tracked_endpoint* it = find_tracked(id); it != nullptr && it->limit) {
+    it->limit->add(grant.count, grant.retry_after, now);
+  }
+}
+
+std::optional<time_point>
+service_endpoints::permit_expected_at(const endpoint_requirements& requirements,
+                                      time_point now) const {
+  const auto found = services_.find(requirements.service);
+  if (limited_count_ == 0 || found == services_.end()) {
+    return std::nullopt;
+  }
+  std::optional<time_point> earliest;
+  for (const tracked_endpoint* it : found->second.endpoints) {
+    if (lacks_permit(*it, now) && is_suitable(*it, requirements, now)) {
+      const time_point at = it->limit->expected_at(now);
+      earliest = earliest ? std::min(*earliest, at) : at;
+    }
+  }
+  return earliest;
+}
+
 int service_endpoints::load_of(std::string_view id, time_point now) const {
   const tracked_endpoint* it = find_tracked(id);
   return it == nullptr ? 0 : current_load(*it, now);
@@ -272,6 +344,9 @@
 void service_endpoints::note_sent(std::string_view id, time_point now) {
   if (tracked_endpoint* it = find_tracked(id)) {
     it->load.record_dispatch(now);
+    if (it->limit) {
+      it->limit->use(now);
+    }
     services_.find(it->entry.description.pool)->second.open_requests += 1;
   }
 }
@@ -351,21 +426,32 @@
   if (it == nullptr) {
     return limit_change::none;
   }
-  const bool was_limited = it->limit.has_value();
   if (per_second) {
-    it->limit = stated_limit{*per_second, now};
-    return was_limited ? limit_change::none : limit_change::started;
+    if (it->limit) {
+      it->limit->state(*per_second, now);
+      return limit_change::none;
+    }
+    it->limit.emplace(*per_second, now);
+    ++limited_count_;
+    return limit_change::started;
   }
-  if (!was_limited || sent_at < it->limit->stated_at) {
+  if (!it->limit || sent_at < it->limit->stated_at()) {
     return limit_change::none;
   }
-  it->limit.reset();
+  end_limit(*it);
   return limit_change::ended;
 }
 
+void service_endpoints::end_limit(tracked_endpoint& it) {
+  if (it.limit) {
+    it.limit.reset();
+    --limited_count_;
+  }
+}
+
 std::optional<double> service_endpoints::request_limit(std::string_view id) const {
   const tracked_endpoint* it = find_tracked(id);
-  return it == nullptr || !it->limit ? std::nullopt : std::optional(it->limit->per_second);
+  return it == nullptr || !it->limit ? std::nullopt : std::optional(it->limit->per_second());
 }
 
 void service_endpoints::note_misdirected(std::string_view id) {
--- a/libs/dispatch/service_endpoints.h
+++ b/libs/dispatch/service_endpoints.h
@@ -8,9 +8,13 @@
 #include <string_view>
 #include <vector>
 
+#include <sigc++/signal.h>
+
 #include "base/random.h"
 #include "base/result.h"
 #include "base/time.h"
+#include "dispatch/endpoint_permits.h"
+#include "dispatch/permit_keeper.h"
 #include "net/http_types.h"
 #include "routing/endpoint_health.h"
 #include "routing/endpoint_load.h"
@@ -44,6 +48,8 @@
   /// The request runs for seconds, so token speed outweighs network latency: fast endpoints are
   /// preferred in any data centre.
   bool long_running = false;
+  /// Number of requests that the caller would send now, this one included.
+  int waiting_requests = 1;
 };
 
 /// Whether a response started or ended the limit of an endpoint's requests.
@@ -61,6 +67,9 @@
 /// from a part of the service that is stable and grows with the requests that this instance has
 /// open there. An instance with little traffic so keeps its connections to few endpoints, and a
 /// service with up to `max_candidates` endpoints is compared as a whole.
+///
+/// An endpoint that states a limit of its requests is chosen only with a permit for one of them.
+/// `choose` notes which permits are missing; their owner requests them and adds them.
 class service_endpoints {
 public:
   /// Number of suitable endpoints that one choice compares.
@@ -85,7 +94,20 @@
   /// Returns the endpoint with the lowest cost, or nothing if none can take the request. The cost
   /// is the load relative to capacity plus penalties, for example for another data centre.
   [[nodiscard]] std::optional<chosen_endpoint> choose(const endpoint_requirements& requirements,
-                                                      time_point now, random_engine& random) const;
+                                                      time_point now, random_engine& random);
+
+  /// Emitted when `choose` lacked a permit that can be requested.
+  sigc::signal<void()> permits_wanted;
+  /// Returns the requests for the permits that are wanted, and notes that they are sent.
+  [[nodiscard]] std::vector<permit_request> take_permit_requests(time_point now);
+  /// Adds the permits that were granted upon a request.
+  void add_permits(std::string_view id, const permit_grant& grant, time_point now);
+  /// Whether an endpoint states a limit of its requests.
+  [[nodiscard]] bool has_limits() const { return limited_count_ > 0; }
+  /// Returns the earliest time at which a permit for an endpoint that meets the requirements can
+  /// arrive; nothing if no endpoint is unavailable for lack of a permit alone.
+  [[nodiscard]] std::optional<time_point>
+  permit_expected_at(const endpoint_requirements& requirements, time_point now) const;
 
   void note_sent(std::string_view id, time_point now);
   /// Records the end of a request. `outcome` is empty if it says nothing about the endpoint's
@@ -128,18 +150,13 @@
   }
 
 private:
-  /// A limit of requests, and when the endpoint last stated it.
-  struct stated_limit {
-    double per_second = 0;
-    time_point stated_at{};
-  };
   struct tracked_endpoint {
     endpoint_entry entry;
     routing::endpoint_load load;
     routing::health_state health = routing::health_state::healthy;
     /// Smoothed time between stream events, in seconds; 0 while unknown.
     double event_interval = 0;
-    std::optional<stated_limit> limit;
+    std::optional<endpoint_permits> limit;
     /// Time until which an endpoint that refused a request is penalised.
     time_point refused_until{};
     /// Position of the endpoint in the order of its service. It depends on the instance, so that
@@ -164,6 +181,14 @@
   void add_to_service(tracked_endpoint& it);
   void remove_from_service(tracked_endpoint& it);
   void update_available(tracked_endpoint& it);
+  [[nodiscard]] static bool lacks_permit(const tracked_endpoint& it, time_point now) {
+    return it.limit && !it.limit->has_permit(now);
+  }
+  [[nodiscard]] static bool is_suitable(const tracked_endpoint& it,
+                                        const endpoint_requirements& requirements, time_point now);
+  void end_limit(tracked_endpoint& it);
+  /// Notes that permits are wanted for the endpoints that `compared` lacked one for.
+  void want_permits(const selection& compared);
   void update_health(time_point now);
   [[nodiscard]] static int current_load(const tracked_endpoint& it, time_point now);
   [[nodiscard]] double selection_cost(const tracked_endpoint& it,
@@ -181,6 +206,9 @@
   double shortest_interval_ = 0;
   routing::endpoint_health health_;
   time_point health_updated_at_{};
+  std::size_t limited_count_ = 0;
+  /// Ids of the endpoints for which permits are wanted and not yet requested.
+  std::vector<std::string> wanted_permits_;
 };
 
 } // namespace boragedoor::dispatch
--- a/libs/duties/member_table.cpp
+++ b/libs/duties/member_table.cpp
@@ -120,7 +120,7 @@
   return list.size() < min_shared_watch_members ? nullptr : oldest_of(list);
 }
 
-const member* member_table::assigned_member(std::string_view work_id) const {
+std::vector<const member*> member_table::candidates_for(std::string_view work_id) const {
   auto list = active();
   double max_processor = 0;
   for (const member* it : list) {
@@ -129,11 +129,15 @@
   std::erase_if(list, [max_processor](const member* it) {
     return it->processor < min_processor_share * max_processor;
   });
-  const auto it = std::max_element(
-      list.begin(), list.end(), [work_id](const member* left, const member* right) {
-        return rendezvous_weight(work_id, left->id) < rendezvous_weight(work_id, right->id);
-      });
-  return it == list.end() ? nullptr : *it;
+  std::sort(list.begin(), list.end(), [work_id](const member* left, const member* right) {
+    return rendezvous_weight(work_id, left->id) > rendezvous_weight(work_id, right->id);
+  });
+  return list;
+}
+
+const member* member_table::assigned_member(std::string_view work_id) const {
+  const auto list = candidates_for(work_id);
+  return list.empty() ? nullptr : list.front();
 }
 
 bool member_table::has_older_member(std::int64_t started_ms, duration min_age) const {
--- a/libs/duties/member_table.h
+++ b/libs/duties/member_table.h
@@ -77,6 +77,9 @@
   /// It is never a draining member, and is one of those with the most processor time, because a
   /// step of 128 texts needs more than a small instance has.
   [[nodiscard]] const member* assigned_member(std::string_view work_id) const;
+  /// The members that `assigned_member` chooses from, in the order of preference: each is chosen
+  /// when those before it are gone.
+  [[nodiscard]] std::vector<const member*> candidates_for(std::string_view work_id) const;
   /// Whether a member started at least `min_age` before a process that started at `started_ms`, so
   /// that the process has joined a running deployment and knows its members from the first list.
   [[nodiscard]] bool has_older_member(std::int64_t started_ms, duration min_age) const;
--- a/libs/events/catalogue.cpp
+++ b/libs/events/catalogue.cpp
@@ -73,6 +73,8 @@
      "An endpoint states how many requests a second it takes from all instances."},
     {endpoint_limit_ended, info, "endpoint_limit_ended",
      "An endpoint no longer states a limit of its requests."},
+    {permits_unanswered, warning, "permits_unanswered",
+     "An instance did not answer a request for permits to send to limited endpoints."},
     {step_opened, info, "step_opened", "A trainer opened a step."},
     {batch_committed, info, "batch_committed", "A batch of samples is durable in the store."},
     {batch_delivered, info, "batch_delivered",
--- a/libs/events/catalogue.h
+++ b/libs/events/catalogue.h
@@ -59,6 +59,7 @@
   endpoint_restored = 1505,
   endpoint_limited = 1506,
   endpoint_limit_ended = 1507,
+  permits_unanswered = 1508,
 
   step_opened = 1601,
   batch_committed = 1602,
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -19,6 +19,10 @@
 constexpr duration min_retry_after = milliseconds(150);
 constexpr duration max_retry_after = milliseconds(450);
 
+/// Share of the target latency that a request waits for a permit to send to an endpoint that states
+/// a limit. A caller that is refused by then can still be served in time by a further attempt.
+constexpr double permit_wait_share = 0.25;
+
 /// Timeout of requests that state none. The timeout of the route applies if it is shorter.
 constexpr duration default_timeout = std::chrono::hours(1);
 
@@ -61,7 +65,10 @@
               request_.timeout.value_or(default_timeout)),
         service_(dispatch::choose_service(*route_.matched_route, context_.random)),
         deadline_timer_(context_.loop, [this] { on_deadline(); }),
-        hedge_timer_(context_.loop, [this] { on_hedge(); }) {}
+        hedge_timer_(context_.loop, [this] { on_hedge(); }),
+        permit_timer_(context_.loop, [this] { on_permit_timeout(); }),
+        permit_wait_(std::chrono::duration_cast<duration>(route_.matched_route->target_latency *
+                                                          permit_wait_share)) {}
 
   void start() {
     exchange_->on_left([self = weak_from_this()] {
@@ -70,8 +77,37 @@
       }
     });
     deadline_timer_.start_once(plan_.deadline() - context_.loop.now());
-    if (!send()) {
-      respond_with_failure();
+    send_or_wait();
+  }
+
+  /// Sends the request to an endpoint. If a permit is all that is missing and one may arrive soon,
+  /// waits for it; otherwise responds with a failure.
+  void send_or_wait() {
+    permit_timer_.cancel();
+    if (send()) {
+      return;
+    }
+    const time_point now = context_.loop.now();
+    if (!wait_until_) {
+      wait_until_ = std::min(now + permit_wait_, plan_.deadline());
+    }
+    const auto permit_at = context_.endpoints.permit_expected_at(
+        {.service = service_, .excluded = plan_.attempted_endpoints()}, now);
+    if (!permit_at || *permit_at > *wait_until_ || now >= *wait_until_) {
+      respond_with_failure(permit_at ? *permit_at - now : duration::zero());
+      return;
+    }
+    if (!std::exchange(waits_for_permit_, true)) {
+      owner_.waiting_.push_back(weak_from_this());
+    }
+    // A permit that is on its way wakes the request. Otherwise one can be requested at `permit_at`.
+    permit_timer_.start_once((*permit_at > now ? *permit_at : *wait_until_) - now);
+  }
+
+  /// Tries to send the request again if it waits for a permit.
+  void retry() {
+    if (std::exchange(waits_for_permit_, false)) {
+      send_or_wait();
     }
   }
 
@@ -257,7 +293,8 @@
     case dispatch::next_step::wait:
       return;
     case dispatch::next_step::retry:
-      if (send()) {
+      if (plan_.open_attempts() == 0) {
+        send_or_wait();
         return;
       }
       break;
@@ -277,7 +314,8 @@
     finish_request(status, "answered", it.endpoint);
   }
 
-  void respond_with_failure() {
+  /// `retry_after` is the time after which an endpoint may take the request, if it is known.
+  void respond_with_failure(duration retry_after = duration::zero()) {
     if (endpoint_failure_) {
       endpoint_failure_->headers = context_.protocol.forwarded_headers(*endpoint_failure_);
       exchange_->respond(*endpoint_failure_);
@@ -289,7 +327,7 @@
                                                           max_retry_after.count());
       exchange_->respond(error_response(service_unavailable, "no_endpoint",
                                         "no endpoint can take the request now", executed::no,
-                                        duration(jitter(context_.random))));
+                                        retry_after + duration(jitter(context_.random))));
       finish_request(service_unavailable, "no_endpoint");
       return;
     }
@@ -320,6 +358,16 @@
     finish_request(gateway_timeout, "deadline");
   }
 
+  void on_permit_timeout() {
+    const auto keep_alive = shared_from_this();
+    if (owner_.pending_.contains(keep_alive)) {
+      // The entry in the list of waiting requests stays, and `retry` ignores it once this request
+      // was sent.
+      send_or_wait();
+      waits_for_permit_ = waits_for_permit_ && attempts_.empty();
+    }
+  }
+
   void on_hedge() {
     if (plan_.may_hedge(context_.loop.now()) && send()) {
       context_.record(event_number::attempt_hedged, request_.attempt_id,
@@ -345,6 +393,7 @@
   void finish_request(int status, std::string_view reason, std::string_view endpoint = {}) {
     deadline_timer_.cancel();
     hedge_timer_.cancel();
+    permit_timer_.cancel();
     context_.count("boragedoor_requests_total", "requests of callers by outcome", reason);
     context_.measure("boragedoor_request_seconds", "time from a request to its response, seconds",
                      context_.loop.now() - start_time_);
@@ -370,6 +419,12 @@
   time_point start_time_ = context_.loop.now();
   net::timer deadline_timer_;
   net::timer hedge_timer_;
+  net::timer permit_timer_;
+  /// How long the request waits for a permit, and until when once it waits.
+  duration permit_wait_;
+  std::optional<time_point> wait_until_;
+  /// Whether the request is in the forwarder's list of waiting requests.
+  bool waits_for_permit_ = false;
 };
 
 forwarder::forwarder(instance_context& context) : context_(context) {}
@@ -384,6 +439,14 @@
   it->start();
 }
 
+void forwarder::retry_waiting() {
+  for (const std::weak_ptr<pending_request>& waiting : std::exchange(waiting_, {})) {
+    if (const auto it = waiting.lock(); it != nullptr && pending_.contains(it)) {
+      it->retry();
+    }
+  }
+}
+
 void forwarder::remove_pending(const std::shared_ptr<pending_request>& request) {
   // The request may be running one of its own callbacks, so it is destroyed later by the loop.
   context_.loop.post([keep_alive = request] {});
--- a/libs/instance/forwarder.h
+++ b/libs/instance/forwarder.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 #include <sigc++/signal.h>
 
@@ -39,6 +40,9 @@
   void forward(std::shared_ptr<http1::exchange> exchange, caller_request request,
                dispatch::route_match route);
 
+  /// Tries again to send the requests that wait for a permit, in the order of their arrival.
+  void retry_waiting();
+
   /// Number of requests without a complete response.
   [[nodiscard]] std::size_t pending_count() const { return pending_.size(); }
 
@@ -52,6 +56,8 @@
 
   instance_context& context_;
   std::unordered_set<std::shared_ptr<pending_request>> pending_;
+  /// Requests that wait for a permit to send to an endpoint that states a limit.
+  std::vector<std::weak_ptr<pending_request>> waiting_;
 };
 
 /// Returns the error response for a request that could not be routed.
--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -148,6 +148,13 @@
   });
 }
 
+int job_runner::waiting_requests(std::size_t (jobs::job_run::*count)() const) const {
+  // Counting walks all items.
+  return context_.endpoints.has_limits()
+             ? static_cast<int>(std::min<std::size_t>((run_.*count)(), max_starts_at_once))
+             : 1;
+}
+
 bool job_runner::start_item(std::size_t n, time_point now) {
   const jobs::job& job = run_.contents();
   const jobs::job_item& item = run_.item(n);
@@ -162,7 +169,9 @@
                                                .excluded = run_.avoided_endpoints(n),
                                                .requires_free_slot = true,
                                                .preferred_endpoint = run_.group_endpoint(n),
-                                               .long_running = true};
+                                               .long_running = true,
+                                               .waiting_requests =
+                                                   waiting_requests(&jobs::job_run::waiting)};
   auto chosen = context_.endpoints.choose(requirements, context_.loop.now(), context_.random);
   if (!chosen) {
     requirements.excluded = {};
@@ -401,8 +410,11 @@
     return false;
   }
   const std::string service = dispatch::choose_service(*route, context_.random);
-  const auto chosen = context_.endpoints.choose({.service = service, .requires_free_slot = true},
-                                                context_.loop.now(), context_.random);
+  const auto chosen = context_.endpoints.choose(
+      {.service = service,
+       .requires_free_slot = true,
+       .waiting_requests = waiting_requests(&jobs::job_run::waiting_rewards)},
+      context_.loop.now(), context_.random);
   if (!chosen) {
     return false;
   }
--- a/libs/instance/job_runner.h
+++ b/libs/instance/job_runner.h
@@ -67,6 +67,8 @@
   /// Starts the items and reward calls that can start now. Called after each run, while `advance`
   /// looks at all items.
   void start_ready(time_point now);
+  /// Number of waiting requests, as `count` returns it, for which permits are requested at once.
+  [[nodiscard]] int waiting_requests(std::size_t (jobs::job_run::*count)() const) const;
   bool start_item(std::size_t n, time_point now);
   bool start_reward(std::size_t n, time_point now);
   bool on_head(active_call& it, const http1::response& head);
--- a/libs/jobs/job_run.cpp
+++ b/libs/jobs/job_run.cpp
@@ -429,6 +429,13 @@
                     [](const tracked_item& it) { return it.current_phase == phase::waiting; }));
 }
 
+std::size_t job_run::waiting_rewards() const {
+  return static_cast<std::size_t>(
+      std::count_if(items_.begin(), items_.end(), [](const tracked_item& it) {
+        return it.current_phase == phase::text_complete;
+      }));
+}
+
 std::size_t job_run::unfinished() const {
   return static_cast<std::size_t>(
       std::count_if(items_.begin(), items_.end(),
--- a/libs/jobs/job_run.h
+++ b/libs/jobs/job_run.h
@@ -136,6 +136,8 @@
   [[nodiscard]] bool all_finished() const;
   [[nodiscard]] std::size_t running() const;
   [[nodiscard]] std::size_t waiting() const;
+  /// Number of items whose text is complete and whose reward call was not sent.
+  [[nodiscard]] std::size_t waiting_rewards() const;
   [[nodiscard]] std::size_t unfinished() const;
 
 private:
--- /dev/null
+++ b/tests/dispatch/request_limit_test.cpp
@@ -0,0 +1,402 @@
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include "base/hash.h"
+#include "dispatch/permit_keeper.h"
+#include "dispatch/service_endpoints.h"
+
+namespace boragedoor::dispatch {
+
+namespace {
+
+constexpr time_point start{seconds(100)};
+/// The users' bound: in four seconds, one and a half times what the limit allows and five more.
+constexpr duration window = seconds(4);
+
+double allowed_in_window(double per_second) {
+  return 1.5 * per_second * std::chrono::duration<double>(window).count() + 5;
+}
+
+endpoint_entry make_endpoint(std::string id) {
+  endpoint_entry it;
+  it.description.id = std::move(id);
+  it.description.pool = "desk";
+  it.description.data_centre = "dc-1";
+  it.description.max_running = 6;
+  it.address = {"127.0.0.1", 80};
+  return it;
+}
+
+/// Highest number of requests in any window.
+std::size_t most_in_window(std::vector<time_point> arrivals) {
+  std::sort(arrivals.begin(), arrivals.end());
+  std::size_t most = 0;
+  std::size_t first = 0;
+  for (std::size_t n = 0; n < arrivals.size(); ++n) {
+    while (arrivals[n] - arrivals[first] > window) {
+      ++first;
+    }
+    most = std::max(most, n - first + 1);
+  }
+  return most;
+}
+
+/// Instances that send requests to endpoints with limits, and exchange permits by messages that
+/// take time. Instances die and come back without memory; the others notice one after the other.
+class simulation {
+public:
+  simulation(std::uint64_t seed, std::size_t instances, std::map<std::string, double> limits)
+      : random_(seed), limits_(std::move(limits)) {
+    for (std::size_t n = 0; n < instances; ++n) {
+      instances_.emplace_back();
+      restart(n);
+      for (std::size_t other = 0; other < instances; ++other) {
+        instances_[n].sees.push_back(true);
+      }
+    }
+  }
+
+  void run(duration length, double requests_per_second_each, bool deaths) {
+    const time_point end = start + length;
+    for (; now_ < end; now_ += milliseconds(1)) {
+      for (auto due = actions_.begin(); due != actions_.end() && due->first <= now_;
+           due = actions_.erase(due)) {
+        due->second();
+      }
+      if (deaths && std::bernoulli_distribution(0.0007)(random_)) {
+        kill(std::uniform_int_distribution<std::size_t>(0, instances_.size() - 1)(random_));
+      }
+      for (std::size_t n = 0; n < instances_.size(); ++n) {
+        instance& it = instances_[n];
+        if (!it.alive) {
+          continue;
+        }
+        if (std::bernoulli_distribution(requests_per_second_each / 1000)(random_)) {
+          it.waiting.push_back(now_);
+        }
+        while (!it.waiting.empty() && now_ - it.waiting.front() > max_wait) {
+          it.waiting.pop_front();
+          ++refused_;
+        }
+        while (!it.waiting.empty() && send(n)) {
+          it.waiting.pop_front();
+        }
+        request_permits(n);
+      }
+    }
+  }
+
+  [[nodiscard]] const std::vector<time_point>& arrivals(const std::string& endpoint) {
+    return arrivals_[endpoint];
+  }
+  [[nodiscard]] std::size_t served_by(std::size_t n) const { return instances_[n].served; }
+  [[nodiscard]] std::size_t refused() const { return refused_; }
+
+private:
+  static constexpr duration max_wait = milliseconds(40);
+  static constexpr duration answer_timeout = milliseconds(300);
+  static constexpr duration silence_period = seconds(1);
+  static constexpr duration lease_time = seconds(3);
+
+  struct instance {
+    std::unique_ptr<service_endpoints> endpoints;
+    permit_keeper keeper;
+    std::map<std::size_t, time_point> silent_until;
+    /// Whether it sees each of the others in its list of members.
+    std::vector<bool> sees;
+    std::deque<time_point> waiting;
+    std::size_t served = 0;
+    int life = 0;
+    bool alive = true;
+  };
+
+  duration delay() { return milliseconds(std::uniform_int_distribution<int>(1, 15)(random_)); }
+  void after(duration wait, std::function<void()> action) {
+    actions_.emplace(now_ + wait, std::move(action));
+  }
+
+  void restart(std::size_t n) {
+    instance& it = instances_[n];
+    it.endpoints = std::make_unique<service_endpoints>(
+        service_endpoints::create("dc-1", fmt::format("instance-{}", n)).value());
+    it.keeper = {};
+    it.silent_until.clear();
+    it.waiting.clear();
+    it.alive = true;
+    ++it.life;
+    for (const auto& [id, limit] : limits_) {
+      it.endpoints->put(make_endpoint(id));
+    }
+  }
+
+  void kill(std::size_t n) {
+    if (!instances_[n].alive) {
+      return;
+    }
+    instances_[n].alive = false;
+    const int life = instances_[n].life;
+    for (std::size_t other = 0; other < instances_.size(); ++other) {
+      after(lease_time + 20 * delay(),
+            [this, other, n, life] { instances_[other].sees[n] = instances_[n].life != life; });
+    }
+    after(lease_time / 2, [this, n] {
+      restart(n);
+      for (std::size_t other = 0; other < instances_.size(); ++other) {
+        after(20 * delay(), [this, other, n] { instances_[other].sees[n] = true; });
+      }
+    });
+  }
+
+  bool send(std::size_t n) {
+    instance& it = instances_[n];
+    const auto chosen = it.endpoints->choose({.service = "desk"}, now_, random_);
+    if (!chosen) {
+      return false;
+    }
+    // The users count the requests of instances that know the limit.
+    if (it.endpoints->request_limit(chosen->id)) {
+      arrivals_[chosen->id].push_back(now_ + delay());
+    }
+    it.endpoints->note_sent(chosen->id, now_);
+    after(milliseconds(30), [this, n, id = chosen->id, sent_at = now_, life = it.life] {
+      instance& sender = instances_[n];
+      if (sender.alive && sender.life == life) {
+        sender.endpoints->note_finished(id, routing::health_signal::success, now_);
+        sender.endpoints->note_limit(id, limits_.at(id), sent_at, now_);
+        ++sender.served;
+      }
+    });
+    return true;
+  }
+
+  /// Members in the order in which an instance asks them.
+  std::vector<std::size_t> candidates(std::size_t n, const std::string& endpoint) const {
+    std::vector<std::size_t> list;
+    for (std::size_t other = 0; other < instances_.size(); ++other) {
+      if (instances_[n].sees[other]) {
+        list.push_back(other);
+      }
+    }
+    std::sort(list.begin(), list.end(), [&](std::size_t left, std::size_t right) {
+      return hash64(endpoint, left) < hash64(endpoint, right);
+    });
+    return list;
+  }
+
+  void request_permits(std::size_t n) {
+    for (const permit_request& request : instances_[n].endpoints->take_permit_requests(now_)) {
+      const auto list = candidates(n, request.endpoint);
+      const auto keeper = std::find_if(list.begin(), list.end(), [&](std::size_t other) {
+        const auto silent = instances_[n].silent_until.find(other);
+        return silent == instances_[n].silent_until.end() || silent->second <= now_;
+      });
+      ask(n, keeper == list.end() ? n : *keeper, request);
+    }
+  }
+
+  void ask(std::size_t n, std::size_t keeper, const permit_request& request) {
+    const auto answer = [this, n, life = instances_[n].life,
+                         endpoint = request.endpoint](const permit_grant& grant) {
+      if (instances_[n].alive && instances_[n].life == life) {
+        instances_[n].endpoints->add_permits(endpoint, grant, now_);
+      }
+    };
+    after(keeper == n ? duration::zero() : delay(), [this, n, keeper, request, answer] {
+      if (!instances_[keeper].alive) {
+        after(answer_timeout, [this, n, keeper, answer] {
+          instances_[n].silent_until[keeper] = now_ + silence_period;
+          answer({0, milliseconds(50)});
+        });
+        return;
+      }
+      const auto list = candidates(keeper, request.endpoint);
+      const auto role =
+          !list.empty() && list.front() == keeper ? keeper_role::keeper : keeper_role::substitute;
+      const permit_grant grant = instances_[keeper].keeper.grant(request, role, now_);
+      after(keeper == n ? duration::zero() : delay(), [answer, grant] { answer(grant); });
+    });
+  }
+
+  random_engine random_;
+  std::map<std::string, double> limits_;
+  time_point now_ = start;
+  std::vector<instance> instances_;
+  std::multimap<time_point, std::function<void()>> actions_;
+  std::map<std::string, std::vector<time_point>> arrivals_;
+  std::size_t refused_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("an endpoint that states a limit of its requests") {
+  auto endpoints = service_endpoints::create("dc-1").value();
+  random_engine random(1);
+  endpoints.put(make_endpoint("a"));
+  const auto choose = [&](time_point now, int waiting = 1) {
+    const auto it = endpoints.choose({.service = "desk", .waiting_requests = waiting}, now, random);
+    return it ? it->id : std::string();
+  };
+  CHECK(endpoints.note_limit("a", 2.0, start, start) == limit_change::started);
+
+  SECTION("is not chosen without a permit, and one permit is requested for a request") {
+    CHECK(choose(start).empty());
+    const auto requests = endpoints.take_permit_requests(start);
+    REQUIRE(requests.size() == 1);
+    CHECK(requests[0].endpoint == "a");
+    CHECK(requests[0].count == 1);
+    CHECK(requests[0].per_second == 2.0);
+    CHECK(endpoints.permit_expected_at({.service = "desk"}, start) == start);
+
+    SECTION("it is chosen once for each permit") {
+      endpoints.add_permits("a", {1, milliseconds(500)}, start);
+      CHECK(choose(start) == "a");
+      endpoints.note_sent("a", start);
+      CHECK(choose(start).empty());
+    }
+    SECTION("permits expire, so that they cannot be saved up") {
+      endpoints.add_permits("a", {3, milliseconds(500)}, start);
+      CHECK(choose(start + seconds(1)).empty());
+    }
+    SECTION("no further permits are requested before they can be granted") {
+      endpoints.add_permits("a", {0, milliseconds(500)}, start);
+      CHECK(choose(start + milliseconds(499)).empty());
+      CHECK(endpoints.take_permit_requests(start + milliseconds(499)).empty());
+      CHECK(endpoints.permit_expected_at({.service = "desk"}, start) == start + milliseconds(500));
+      CHECK(choose(start + milliseconds(500)).empty());
+      CHECK(endpoints.take_permit_requests(start + milliseconds(500)).size() == 1);
+    }
+  }
+
+  SECTION("is used without permits again once it states no limit") {
+    SECTION("but a response to an earlier request does not end the limit") {
+      CHECK(endpoints.note_limit("a", std::nullopt, start - milliseconds(1),
+                                 start + milliseconds(1)) == limit_change::none);
+      CHECK(choose(start).empty());
+    }
+    CHECK(endpoints.note_limit("a", std::nullopt, start + milliseconds(1),
+                               start + milliseconds(2)) == limit_change::ended);
+    CHECK(choose(start + milliseconds(2)) == "a");
+    CHECK_FALSE(endpoints.has_limits());
+  }
+
+  SECTION("does not keep requests from endpoints without a limit") {
+    endpoints.put(make_endpoint("b"));
+    CHECK(choose(start) == "b");
+
+    SECTION("and when those are busier, a permit is requested for the next request") {
+      endpoints.note_sent("b", start);
+      CHECK(choose(start) == "b");
+      CHECK(endpoints.take_permit_requests(start).size() == 1);
+    }
+  }
+
+  SECTION("permits are requested for as many endpoints as requests wait") {
+    endpoints.put(make_endpoint("b"));
+    endpoints.note_limit("b", 2.0, start, start);
+    CHECK(choose(start, 4).empty());
+    const auto requests = endpoints.take_permit_requests(start);
+    REQUIRE(requests.size() == 2);
+    CHECK(requests[0].count + requests[1].count == 4);
+  }
+
+  SECTION("that leaves takes its limit with it") {
+    endpoints.remove("a");
+    CHECK_FALSE(endpoints.has_limits());
+    endpoints.add_permits("a", {1, seconds(1)}, start);
+    CHECK(endpoints.take_permit_requests(start).empty());
+  }
+}
+
+TEST_CASE("the keeper of an endpoint's budget") {
+  permit_keeper keeper;
+  const auto grant = [&](int count, time_point now, keeper_role role = keeper_role::keeper) {
+    return keeper.grant({.endpoint = "a", .count = count, .per_second = 2}, role, now);
+  };
+  CHECK(grant(1, start).count == 1);
+  CHECK(grant(1, start).count == 0);
+
+  SECTION("grants the rate that the endpoint states") {
+    int granted = 0;
+    for (int n = 1; n <= 1000; ++n) {
+      granted += grant(8, start + n * milliseconds(10)).count;
+    }
+    CHECK(granted >= 19);
+    CHECK(granted <= 20);
+  }
+  SECTION("says when the next permit can be granted") {
+    CHECK(grant(1, start).retry_after == milliseconds(500));
+    CHECK(grant(1, start + milliseconds(500)).count == 1);
+  }
+  SECTION("saves up two permits at most") {
+    CHECK(grant(100, start + seconds(60)).count == 2);
+  }
+  SECTION("grants half as many while it stands in for another one") {
+    int granted = 0;
+    for (int n = 1; n <= 1000; ++n) {
+      granted += grant(8, start + n * milliseconds(10), keeper_role::substitute).count;
+    }
+    CHECK(granted <= 10);
+    CHECK(granted >= 9);
+  }
+  SECTION("takes the latest value that a response stated, whoever read it") {
+    keeper.grant({.endpoint = "a", .count = 0, .per_second = 10, .age = seconds(5)},
+                 keeper_role::keeper, start + milliseconds(1));
+    CHECK(grant(1, start + milliseconds(250)).count == 0);
+    keeper.grant({.endpoint = "a", .count = 0, .per_second = 10}, keeper_role::keeper,
+                 start + milliseconds(250));
+    CHECK(keeper
+              .grant({.endpoint = "a", .count = 1, .per_second = 2, .age = seconds(1)},
+                     keeper_role::keeper, start + milliseconds(301))
+              .count == 1);
+  }
+  SECTION("lets a request through now and then if the limit is zero, to see its end") {
+    const auto zero = [&](time_point now) {
+      return keeper.grant({.endpoint = "z", .count = 1, .per_second = 0}, keeper_role::keeper, now)
+          .count;
+    };
+    CHECK(zero(start) == 1);
+    CHECK(zero(start + seconds(3)) == 0);
+    CHECK(zero(start + seconds(4)) == 1);
+  }
+  SECTION("forgets budgets that nobody asks for") {
+    keeper.expire(start + seconds(29));
+    CHECK(keeper.size() == 1);
+    keeper.expire(start + seconds(30));
+    CHECK(keeper.size() == 0);
+  }
+}
+
+// Pattern: look-ups of many callers on all instances, two to four times what the limited endpoints
+// of their service take, while instances are killed and restarted.
+TEST_CASE("instances together keep the limits of endpoints, and use what they allow") {
+  const std::map<std::string, double> limits = {{"a", 1.0}, {"b", 4.0}, {"c", 7.0}, {"d", 20.0}};
+  constexpr duration length = seconds(40);
+  const bool deaths = GENERATE(false, true);
+  const std::size_t instances = GENERATE(8, 60);
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    CAPTURE(seed, deaths, instances);
+    simulation it(seed, instances, limits);
+    it.run(length, 100.0 / static_cast<double>(instances), deaths);
+    for (const auto& [id, limit] : limits) {
+      CAPTURE(id);
+      CHECK(static_cast<double>(most_in_window(it.arrivals(id))) <= allowed_in_window(limit));
+      const double offered = limit * std::chrono::duration<double>(length).count();
+      CHECK(static_cast<double>(it.arrivals(id).size()) >= 0.5 * offered);
+    }
+    if (!deaths) {
+      for (std::size_t n = 0; n < instances; ++n) {
+        CHECK(it.served_by(n) > 0);
+      }
+    }
+  }
+}
+
+} // namespace boragedoor::dispatch
--- a/tests/dispatch/selection_benchmark.cpp
+++ b/tests/dispatch/selection_benchmark.cpp
@@ -26,7 +26,7 @@
 }
 
 void choose_for_run(benchmark::State& state) {
-  const auto endpoints = make_service(static_cast<int>(state.range(0)));
+  auto endpoints = make_service(static_cast<int>(state.range(0)));
   random_engine random(1);
   while (state.KeepRunning()) {
     benchmark::DoNotOptimize(endpoints.choose({.service = "models",
@@ -39,7 +39,7 @@
 }
 
 void choose_for_lookup(benchmark::State& state) {
-  const auto endpoints = make_service(static_cast<int>(state.range(0)));
+  auto endpoints = make_service(static_cast<int>(state.range(0)));
   random_engine random(1);
   while (state.KeepRunning()) {
     benchmark::DoNotOptimize(endpoints.choose({.service = "models"}, start, random));
