--- a/libs/dispatch/service_endpoints.cpp
+++ b/libs/dispatch/service_endpoints.cpp
@@ -275,7 +275,7 @@
   if (best == nullptr) {
     return std::nullopt;
   }
-  return chosen_endpoint{best->entry.description.id, best->entry.address};
+  return chosen_endpoint{best->entry.description.id, best->entry.address, best->entry.software};
 }
 
 bool service_endpoints::is_suitable(const tracked_endpoint& it,
--- a/libs/dispatch/service_endpoints.h
+++ b/libs/dispatch/service_endpoints.h
@@ -29,6 +29,9 @@
   net::address address;
   /// Loaded weight version by model name; empty if the service hosts no models.
   std::map<std::string, std::uint64_t, std::less<>> versions;
+  /// Service and version of the software that the endpoint runs, for example "models/v2". Streams
+  /// that different software generates do not fit together.
+  std::string software;
   /// Start time of the process in Unix milliseconds. It changes when a new process takes over the
   /// id.
   std::int64_t process_start_ms = 0;
@@ -58,6 +61,8 @@
 struct chosen_endpoint {
   std::string id;
   net::address address;
+  /// See `endpoint_entry::software`.
+  std::string software;
 };
 
 /// Tracks the load and health of all services' endpoints and selects one for each request.
--- a/libs/instance/endpoint_task.cpp
+++ b/libs/instance/endpoint_task.cpp
@@ -49,7 +49,9 @@
   const auto* known = context_.endpoints.find(description.id);
   if (known == nullptr || known->process_start_ms != entry->process_start_ms) {
     context_.record(events::event_number::endpoint_added, {}, description.id,
-                    {{"address", net::to_string(entry->address)}, {"pool", description.pool}});
+                    {{"address", net::to_string(entry->address)},
+                     {"pool", description.pool},
+                     {"software", entry->software}});
   } else if (description.state == routing::endpoint_state::draining &&
              known->description.state != description.state) {
     context_.record(events::event_number::endpoint_draining, {}, description.id);
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -163,6 +163,8 @@
     it->call = context_.calls.send(std::move(spec), std::move(callbacks));
     context_.record(event_number::attempt_started, request_.attempt_id, chosen->id,
                     {{"service", service_},
+                     {"software", chosen->software},
+                     {"resumes", request_.resumes},
                      {"open", plan_.open_attempts()},
                      {"load", context_.endpoints.load_of(chosen->id, now)},
                      {"available", context_.endpoints.available_count(service_)}});
--- a/libs/instance/forwarder.h
+++ b/libs/instance/forwarder.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -22,6 +23,11 @@
   std::string host;
   /// Workspace key from the request, or empty. It is never sent to another process.
   std::string key;
+  /// Attempt that brought the first event of the stream that this request continues; empty if it
+  /// continues none or does not say so.
+  std::string resumes{};
+  /// Whether the request asks for the rest of a stream that broke off.
+  bool continues_stream = false;
   /// How long the caller waits for the response, if the request states it.
   std::optional<duration> timeout;
 };
--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -194,8 +194,9 @@
   context_.note_sent(chosen->id, "item");
   run_.started(n, chosen->id, now);
   runs_[n] = it;
-  context_.record(event_number::item_started, item.id, chosen->id,
-                  {{"job", job.id}, {"after", run_.last_event(n).value_or(0)}});
+  context_.record(
+      event_number::item_started, item.id, chosen->id,
+      {{"job", job.id}, {"after", run_.last_event(n).value_or(0)}, {"software", chosen->software}});
   http1::call_callbacks callbacks;
   callbacks.on_head = [this, it](const http1::response& head) { return on_head(*it, head); };
   callbacks.on_data = [this, it](std::string_view data) { on_data(*it, data); };
--- a/tests/platform/endpoint_codec_test.cpp
+++ b/tests/platform/endpoint_codec_test.cpp
@@ -27,6 +27,7 @@
     CHECK(it->description.max_running == 8);
     CHECK(it->description.state == routing::endpoint_state::ready);
     CHECK(it->versions.at("m") == 3);
+    CHECK(it->software == "s/v1");
     CHECK(it->process_start_ms == 1700000000000);
   }
 
@@ -34,6 +35,12 @@
     SECTION("no service") {
       entry.erase("service");
     }
+    SECTION("no software version") {
+      entry.erase("version");
+    }
+    SECTION("a software version that is a number") {
+      entry["version"] = 1;
+    }
     SECTION("slots as text") {
       entry["slots"] = "8";
     }
