--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -56,6 +56,15 @@
              {"max_attempts", 2},
              {"public", true},
              {"service", "plain"}},
+            {{"name", "chat"},
+             {"host", "a.example"},
+             {"prefix", "/chat/"},
+             {"kind", "stream"},
+             {"resumable", true},
+             {"timeout_ms", 10000},
+             {"target_latency_ms", 500},
+             {"max_attempts", 1},
+             {"service", "models"}},
             {{"name", "jobs"},
              {"host", "a.example"},
              {"prefix", "/jobs/"},
@@ -150,20 +159,34 @@
 
   /// Starts an engine that sends `events` events per stream, one each `interval`.
   void start_engine(duration interval = milliseconds(5), int events = 3) {
-    engine = std::make_unique<replica_stand_in>(*loop, store,
-                                                replica_stand_in::options{.id = "e-1",
-                                                                          .service = "models",
-                                                                          .model = "m",
-                                                                          .events = events,
-                                                                          .interval = interval});
-    REQUIRE(loop->run_until([&] { return first->context().endpoints.find("e-1") != nullptr; },
-                            wait_limit));
+    engine = make_engine("e-1", "v1", interval, events);
+  }
+
+  /// Returns an engine with a version of the software, once all instances know it.
+  std::unique_ptr<replica_stand_in> make_engine(const std::string& id, const std::string& software,
+                                                duration interval, int events) {
+    auto it = std::make_unique<replica_stand_in>(*loop, store,
+                                                 replica_stand_in::options{.id = id,
+                                                                           .service = "models",
+                                                                           .model = "m",
+                                                                           .software = software,
+                                                                           .events = events,
+                                                                           .interval = interval});
+    for (const auto* instance : {&first, &second}) {
+      REQUIRE(loop->run_until(
+          [&] {
+            return *instance == nullptr || (*instance)->context().endpoints.find(id) != nullptr;
+          },
+          wait_limit));
+    }
+    return it;
   }
 
   /// Sends a request to an instance, on a connection of its own.
-  void send(const serving_process& to, std::string method, std::string target, std::string id,
-            std::function<void(const http1::response&)> done, std::string body = {},
-            const std::string& key = "key-n") {
+  std::shared_ptr<http1::call> send(const serving_process& to, std::string method,
+                                    std::string target, std::string id,
+                                    std::function<void(const http1::response&)> done,
+                                    std::string body = {}, const std::string& key = "key-n") {
     http1::call_spec spec;
     spec.target = to.callers_address();
     spec.message = {std::move(method),
@@ -178,7 +201,7 @@
     callbacks.on_end = [done = std::move(done)](http1::call_outcome, const http1::response& it) {
       done(it);
     };
-    caller.send(std::move(spec), std::move(callbacks));
+    return caller.send(std::move(spec), std::move(callbacks));
   }
 
   http1::response call(const serving_process& to, std::string method, std::string target,
--- a/tests/platform/replica_stand_in.cpp
+++ b/tests/platform/replica_stand_in.cpp
@@ -33,7 +33,7 @@
   store_.put("servers/" + options_.id, {{"service", options_.service},
                                         {"address", net::to_string(address_)},
                                         {"zone", options_.zone},
-                                        {"version", "v1"},
+                                        {"version", options_.software},
                                         {"slots", options_.slots},
                                         {"state", state},
                                         {"cold_remaining_ms", 0},
@@ -109,6 +109,9 @@
   }
   exchange->start({200, headers, {}});
   const auto after = http1::integer_header(request_headers, "Last-Event-Id").value_or(0);
+  if (after > 0) {
+    continued_ids.push_back(id);
+  }
   open_runs_.push_back({exchange, static_cast<int>(after) + 1});
 }
 
@@ -140,7 +143,8 @@
     if (!it.exchange->is_open()) {
       continue;
     }
-    it.exchange->send_chunk(fmt::format("id: {}\ndata: t{}\n\n", it.next, it.next));
+    const std::string suffix = options_.software == "v1" ? "" : "-" + options_.software;
+    it.exchange->send_chunk(fmt::format("id: {}\ndata: t{}{}\n\n", it.next, it.next, suffix));
     if (it.next++ >= options_.events) {
       it.exchange->finish();
     } else {
--- a/tests/platform/replica_stand_in.h
+++ b/tests/platform/replica_stand_in.h
@@ -24,6 +24,8 @@
     /// Model that the replica serves; empty for a plain service.
     std::string model{};
     std::uint64_t version = 1;
+    /// Version of the software. Events of versions other than "v1" name it.
+    std::string software = "v1";
     int slots = 4;
     /// Number of events in each stream and the time between them.
     int events = 3;
@@ -44,6 +46,8 @@
 
   /// Attempt ids of the executed requests, in order.
   std::vector<std::string> executed_ids;
+  /// Attempt ids of the executed requests that continued a stream.
+  std::vector<std::string> continued_ids;
   /// The last request that was received.
   http1::request last;
   /// Requests a second that its answers state as the limit, as text; empty for none.
--- /dev/null
+++ b/tests/platform/text_version_test.cpp
@@ -0,0 +1,65 @@
+#include <chrono>
+
+#include "platform_fixture.h"
+
+namespace boragedoor::platform {
+
+namespace {
+
+constexpr int events = 60;
+constexpr duration interval = milliseconds(15);
+/// Events after which a text is saved, so that another instance can continue it.
+constexpr int saved_events = 30;
+
+/// Whether all events of a text come from one version of the software.
+bool is_of_one_version(const std::string& text) {
+  const auto lines = std::count(text.begin(), text.end(), '\n') + 1;
+  std::ptrdiff_t newer = 0;
+  for (auto at = text.find("-v2"); at != std::string::npos; at = text.find("-v2", at + 1)) {
+    ++newer;
+  }
+  return lines == events && (newer == 0 || newer == lines);
+}
+
+} // namespace
+
+// Guards against texts whose first part comes from one software version and the rest from another.
+TEST_CASE("the text of an item comes from one software version") {
+  platform_fixture it;
+  it.engine = it.make_engine("e-1", "v1", interval, events);
+  it.start("second", it.second);
+  REQUIRE(it.call(*it.first, "POST", "/jobs/j1", to_text(make_job()), "key-n", "j1").status == 202);
+  REQUIRE(it.loop->run_until([&] { return it.engine->open() == 4; }, wait_limit));
+  it.loop->run_until([] { return false; }, saved_events * interval);
+  std::unique_ptr<replica_stand_in> newer = it.make_engine("e-2", "v2", interval, events);
+  std::unique_ptr<replica_stand_in> older;
+
+  SECTION("when its engine crashes and only a newer version is left") {
+    it.engine->crash();
+    it.store.erase("servers/e-1");
+  }
+  SECTION("when its engine crashes and another one of its version serves") {
+    older = it.make_engine("e-3", "v1", interval, events);
+    it.engine->crash();
+    it.store.erase("servers/e-1");
+  }
+  SECTION("when another instance takes the job over and its engine has left") {
+    REQUIRE(it.loop->run_until([&] { return it.store.has("boragedoor/progress/j1"); }, wait_limit));
+    it.engine->crash();
+    it.store.erase("servers/e-1");
+    it.first.reset();
+  }
+  const serving_process& reader = it.first ? *it.first : *it.second;
+  const auto results = it.read_all(reader, "j1");
+  REQUIRE(results.size() == 4);
+  for (const auto& [id, result] : results) {
+    CAPTURE(id, result.dump());
+    CHECK(result["state"] == "done");
+    CHECK(is_of_one_version(result["output"].get<std::string>()));
+  }
+  if (older) {
+    CHECK(older->continued_ids.size() == 4);
+  }
+}
+
+} // namespace boragedoor::platform
