Continue the text of an item only at the software version that began it

Cause: an item's text had no record of the software that generated it, so a broken or moved run, a takeover and a later step continued it at any engine.

The text, its saved progress and the texts kept for a later step now name the software (service and version), and only endpoints with the same one are chosen for it; job_run rejects events of another one. A text whose software has left is generated again; one whose endpoints are full waits at most as long as that takes, and other items start meanwhile.

--- a/libs/dispatch/service_endpoints.cpp
+++ b/libs/dispatch/service_endpoints.cpp
@@ -284,9 +284,19 @@
                                      .excluded = requirements.excluded};
   return routing::meets_requirements(it.entry.description, asked) &&
          (!requirements.requires_free_slot || has_free_slot(it, now)) &&
+         (requirements.software.empty() || it.entry.software == requirements.software) &&
          holds_weights(it.entry, requirements);
 }
 
+bool service_endpoints::has_available(std::string_view service, std::string_view software) const {
+  const auto found = services_.find(service);
+  return found != services_.end() &&
+         std::any_of(found->second.endpoints.begin(), found->second.endpoints.end(),
+                     [software](const tracked_endpoint* it) {
+                       return it->available && it->entry.software == software;
+                     });
+}
+
 void service_endpoints::want_permits(const selection& compared) {
   const bool was_empty = wanted_permits_.empty();
   for (tracked_endpoint* it : compared.endpoints_lacking_permits()) {
--- a/libs/dispatch/service_endpoints.h
+++ b/libs/dispatch/service_endpoints.h
@@ -42,6 +42,8 @@
   std::string_view service{};
   std::string_view model{};
   std::uint64_t minimum_version = 0;
+  /// Software that an endpoint must run, because it continues a stream; empty for any.
+  std::string_view software{};
   /// Ids of endpoints that must not be chosen, for example because they were already tried.
   std::span<const std::string> excluded{};
   /// Chooses nothing rather than an endpoint that would have to queue the request.
@@ -141,6 +143,8 @@
   /// Updates the health states that depend on time.
   void tick(time_point now);
 
+  /// Whether an endpoint with this software accepts new requests.
+  [[nodiscard]] bool has_available(std::string_view service, std::string_view software) const;
   /// Returns the number of endpoints of a service that accept new requests.
   [[nodiscard]] int available_count(std::string_view service) const;
   /// Returns the number of requests at an endpoint: its last load report plus the requests that
--- a/libs/events/catalogue.cpp
+++ b/libs/events/catalogue.cpp
@@ -97,6 +97,8 @@
     {item_scored, debug, "item_scored", "The reward call of an item ended."},
     {results_listed, info, "results_listed", "Results of a batch job are durable in the store."},
     {results_read, debug, "results_read", "A trainer read results of a batch job."},
+    {text_discarded, info, "text_discarded",
+     "An item starts anew, because no endpoint with its text's software takes it."},
     {usage_window_frozen, info, "usage_window_frozen",
      "The figures of a usage window are final in the store."},
     {usage_window_reported, info, "usage_window_reported", "The usage intake confirmed a window."},
--- a/libs/events/catalogue.h
+++ b/libs/events/catalogue.h
@@ -78,6 +78,7 @@
   item_scored = 1617,
   results_listed = 1618,
   results_read = 1619,
+  text_discarded = 1620,
 
   usage_window_frozen = 1701,
   usage_window_reported = 1702,
--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -107,10 +107,11 @@
 void job_runner::start_ready(time_point now) {
   int left = max_starts_at_once;
   while (const auto n = left > 0 ? run_.next_item(now) : std::nullopt) {
-    if (!start_item(*n, now)) {
+    const start_result outcome = start_item(*n, now);
+    if (outcome == start_result::no_endpoint) {
       break;
     }
-    --left;
+    left -= outcome == start_result::started ? 1 : 0;
   }
   while (const auto n = left > 0 ? run_.next_reward(now) : std::nullopt) {
     if (!start_reward(*n, now)) {
@@ -155,17 +156,28 @@
              : 1;
 }
 
-bool job_runner::start_item(std::size_t n, time_point now) {
+std::string job_runner::service_for(const dispatch::route& route, std::size_t n) {
+  for (const dispatch::service_share& it : route.services) {
+    if (!run_.software(n).empty() &&
+        context_.endpoints.has_available(it.service, run_.software(n))) {
+      return it.service;
+    }
+  }
+  return dispatch::choose_service(route, context_.random);
+}
+
+job_runner::start_result job_runner::start_item(std::size_t n, time_point now) {
   const jobs::job& job = run_.contents();
   const jobs::job_item& item = run_.item(n);
   const dispatch::route* route = context_.routes.find(job.host, item.path);
   if (route == nullptr) {
-    return false;
+    return start_result::no_endpoint;
   }
-  const std::string service = dispatch::choose_service(*route, context_.random);
+  const std::string service = service_for(*route, n);
   dispatch::endpoint_requirements requirements{.service = service,
                                                .model = item.model,
                                                .minimum_version = job.minimum_version,
+                                               .software = run_.software(n),
                                                .excluded = run_.avoided_endpoints(n),
                                                .requires_free_slot = true,
                                                .preferred_endpoint = run_.group_endpoint(n),
@@ -177,8 +189,16 @@
     requirements.excluded = {};
     chosen = context_.endpoints.choose(requirements, context_.loop.now(), context_.random);
   }
+  if (!chosen && !requirements.software.empty()) {
+    if (!run_.postpone(n, context_.endpoints.has_available(service, requirements.software), now)) {
+      return start_result::postponed;
+    }
+    context_.record(event_number::text_discarded, item.id, {}, {{"job", job.id}});
+    requirements.software = {};
+    chosen = context_.endpoints.choose(requirements, context_.loop.now(), context_.random);
+  }
   if (!chosen) {
-    return false;
+    return start_result::no_endpoint;
   }
   const auto it = std::make_shared<active_call>(
       active_call{.item = n, .endpoint = chosen->id, .call = {}, .reader = {}, .sent_at = now});
@@ -192,7 +212,7 @@
   spec.connect_timeout = connect_timeout;
   spec.progress_timeout = stream_timeout;
   context_.note_sent(chosen->id, "item");
-  run_.started(n, chosen->id, now);
+  run_.started(n, {chosen->id, chosen->software}, now);
   runs_[n] = it;
   context_.record(
       event_number::item_started, item.id, chosen->id,
@@ -204,7 +224,7 @@
     on_end(it, outcome, response);
   };
   it->call = context_.calls.send(std::move(spec), std::move(callbacks));
-  return true;
+  return start_result::started;
 }
 
 bool job_runner::on_head(active_call& it, const http1::response& head) {
@@ -356,10 +376,11 @@
     return std::nullopt;
   }
   const std::vector<std::string> excluded = {current};
-  const std::string service = dispatch::choose_service(*route, context_.random);
+  const std::string service = service_for(*route, n);
   return context_.endpoints.choose({.service = service,
                                     .model = run_.item(n).model,
                                     .minimum_version = job.minimum_version,
+                                    .software = run_.software(n),
                                     .excluded = excluded,
                                     .requires_free_slot = true,
                                     .long_running = true},
--- a/libs/instance/job_runner.h
+++ b/libs/instance/job_runner.h
@@ -69,7 +69,10 @@
   void start_ready(time_point now);
   /// Number of waiting requests, as `count` returns it, for which permits are requested at once.
   [[nodiscard]] int waiting_requests(std::size_t (jobs::job_run::*count)() const) const;
-  bool start_item(std::size_t n, time_point now);
+  enum class start_result { started, postponed, no_endpoint };
+  start_result start_item(std::size_t n, time_point now);
+  /// The service of a route that is to run an item: that of its text, if it has one.
+  [[nodiscard]] std::string service_for(const dispatch::route& route, std::size_t n);
   bool start_reward(std::size_t n, time_point now);
   bool on_head(active_call& it, const http1::response& head);
   void on_data(active_call& it, std::string_view data);
--- a/libs/jobs/job.h
+++ b/libs/jobs/job.h
@@ -72,6 +72,8 @@
   std::string text;
   std::uint64_t last_event = 0;
   std::vector<std::uint64_t> versions;
+  /// Software that generated the text; only endpoints with the same one can continue it.
+  std::string software;
 };
 
 /// The part of a job that every instance knows: which instance runs it, and whether it has ended.
--- a/libs/jobs/job_documents.cpp
+++ b/libs/jobs/job_documents.cpp
@@ -211,7 +211,8 @@
     out.push_back({{"id", it.id},
                    {"text", binary(it.text)},
                    {"last_event", it.last_event},
-                   {"versions", it.versions}});
+                   {"versions", it.versions},
+                   {"software", it.software}});
   }
   return to_cbor(out);
 }
@@ -231,6 +232,8 @@
         !read_field(from, "last_event", it.last_event) || !read_versions(from, it.versions)) {
       return malformed_document("progress");
     }
+    // Documents of earlier releases do not name the software. `job_run` ignores such texts.
+    read_field(from, "software", it.software);
     list.push_back(std::move(it));
   }
   return list;
--- a/libs/jobs/job_run.cpp
+++ b/libs/jobs/job_run.cpp
@@ -30,7 +30,8 @@
   }
   for (const item_progress& it : initial_progress) {
     const auto found = index.find(it.id);
-    if (found == index.end() || items_[found->second].current_phase != phase::waiting) {
+    if (found == index.end() || items_[found->second].current_phase != phase::waiting ||
+        it.software.empty()) {
       continue;
     }
     tracked_item& restored = items_[found->second];
@@ -38,6 +39,7 @@
     restored.has_text = true;
     restored.last_event = it.last_event;
     restored.versions.insert(it.versions.begin(), it.versions.end());
+    restored.software = it.software;
   }
   rank_items();
 }
@@ -96,15 +98,38 @@
   return items_[n].avoided_endpoints;
 }
 
-void job_run::started(std::size_t n, std::string_view endpoint, time_point now) {
+bool job_run::postpone(std::size_t n, bool left, time_point now) {
+  tracked_item& it = items_[n];
+  it.waiting_since = it.waiting_since.value_or(now);
+  const auto events = static_cast<duration::rep>(it.last_event.value_or(0));
+  if (!left || now - *it.waiting_since >= events * options_.continuation_wait_per_event) {
+    discard_text(it);
+    return true;
+  }
+  it.not_before = now + options_.continuation_retry_delay;
+  return false;
+}
+
+void job_run::discard_text(tracked_item& it) {
+  it.text.clear();
+  it.has_text = false;
+  it.last_event.reset();
+  it.versions.clear();
+  it.software.clear();
+  it.waiting_since.reset();
+}
+
+void job_run::started(std::size_t n, const run_target& target, time_point now) {
   tracked_item& it = items_[n];
   it.current_phase = phase::running;
-  it.endpoint = endpoint;
+  it.endpoint = target.endpoint;
+  it.run_software = target.software;
+  it.waiting_since.reset();
   it.run_version = 0;
   it.run_events = 0;
   it.run_started = now;
   it.last_activity = now;
-  group_endpoints_.emplace(job_.items[n].group, endpoint);
+  group_endpoints_.emplace(job_.items[n].group, target.endpoint);
 }
 
 bool job_run::accept_version(std::size_t n, std::uint64_t version) {
@@ -122,6 +147,11 @@
   if (!event.id || (it.last_event && *event.id != *it.last_event + 1)) {
     return false;
   }
+  if (!it.has_text) {
+    it.software = it.run_software;
+  } else if (it.software != it.run_software) {
+    return false;
+  }
   if (it.has_text) {
     it.text += '\n';
   }
@@ -173,10 +203,7 @@
     return;
   case run_outcome::stale_weights:
     if (job_.single_version) {
-      it.text.clear();
-      it.has_text = false;
-      it.last_event.reset();
-      it.versions.clear();
+      discard_text(it);
     }
     schedule_retry(it, endpoint, now);
     return;
@@ -407,8 +434,11 @@
       break;
     }
     const auto n = static_cast<std::size_t>(it - items_.data());
-    list.push_back(
-        {job_.items[n].id, it->text, *it->last_event, {it->versions.begin(), it->versions.end()}});
+    list.push_back({job_.items[n].id,
+                    it->text,
+                    *it->last_event,
+                    {it->versions.begin(), it->versions.end()},
+                    it->software});
   }
   return list;
 }
--- a/libs/jobs/job_run.h
+++ b/libs/jobs/job_run.h
@@ -37,11 +37,22 @@
 
 enum class reward_outcome { scored, failed, broken };
 
+/// The endpoint of a run, and its software. Different software generates texts that do not fit
+/// together.
+struct run_target {
+  std::string_view endpoint;
+  std::string_view software;
+};
+
 struct job_run_options {
   /// Delay after an unsuccessful run. It doubles with each further one, and is reset by an event.
   /// The backoff limits how many endpoints a request that crashes its endpoint can crash.
   duration initial_retry_delay = milliseconds(50);
   duration max_retry_delay = seconds(20);
+  /// A text waits for a free slot at endpoints with its software at most as long as other software
+  /// would need to generate it again: this time for each of its events.
+  duration continuation_wait_per_event = milliseconds(20);
+  duration continuation_retry_delay = milliseconds(50);
   /// A run is moved if its mean event interval exceeds the median of all runs by this factor.
   double slow_factor = 2;
   /// Events that a run needs before its mean event interval is used.
@@ -71,7 +82,8 @@
 class job_run {
 public:
   /// `listed` are the results that are already in the store, in order of position.
-  /// `initial_progress` are partial texts from an earlier run of the job or an earlier job.
+  /// `initial_progress` are partial texts from an earlier run of the job or an earlier job; those
+  /// of unknown software are ignored.
   job_run(job contents, std::span<const item_result> listed, time_point now,
           std::span<const item_progress> initial_progress = {},
           const job_run_options& options = {});
@@ -84,17 +96,23 @@
   [[nodiscard]] std::optional<std::size_t> next_item(time_point now) const;
   /// Id of the item's last event, after which a run continues; nullopt for a new text.
   [[nodiscard]] std::optional<std::uint64_t> last_event(std::size_t n) const;
+  /// Software that must continue the item's text; empty if there is no text yet.
+  [[nodiscard]] std::string_view software(std::size_t n) const { return items_[n].software; }
+  /// Records that no endpoint can continue the item's text now. Discards the text if none is `left`
+  /// that could, or if it has waited as long as generating it again takes; otherwise the item is
+  /// tried again later. Returns whether the text was discarded.
+  bool postpone(std::size_t n, bool left, time_point now);
   /// Endpoint that has already processed the group's prompt; empty if there is none.
   [[nodiscard]] std::string_view group_endpoint(std::size_t n) const;
   /// Endpoints to avoid, because the item's last runs there were unsuccessful.
   [[nodiscard]] std::span<const std::string> avoided_endpoints(std::size_t n) const;
 
-  void started(std::size_t n, std::string_view endpoint, time_point now);
+  void started(std::size_t n, const run_target& target, time_point now);
   /// Sets the weight version of the run in progress, as reported by the endpoint. Returns false if
   /// the job does not accept the version; the caller must then end the run with `stale_weights`.
   bool accept_version(std::size_t n, std::uint64_t version);
   /// Appends an event to the item's text. Returns false if the event does not directly follow the
-  /// last one; the caller must then end the run with `broken`.
+  /// last one or comes from other software; the caller must then end the run with `broken`.
   bool append_event(std::size_t n, const stream_event& event, time_point now);
   void ended(std::size_t n, run_outcome outcome, time_point now);
 
@@ -149,6 +167,11 @@
     bool has_text = false;
     std::optional<std::uint64_t> last_event;
     std::set<std::uint64_t> versions;
+    /// Software that generated the text, and that of the run in progress.
+    std::string software;
+    std::string run_software;
+    /// When the text first could not be continued since the last run.
+    std::optional<time_point> waiting_since;
     /// Weight version of the run in progress; 0 until the response headers have arrived.
     std::uint64_t run_version = 0;
     std::string endpoint;
@@ -167,6 +190,7 @@
   };
 
   void rank_items();
+  static void discard_text(tracked_item& it);
   void finish(std::size_t n, item_state outcome, time_point now);
   void schedule_retry(tracked_item& it, std::string_view endpoint, time_point now);
   [[nodiscard]] bool is_worth_saving(const tracked_item& it) const;
--- a/tests/dispatch/service_endpoints_test.cpp
+++ b/tests/dispatch/service_endpoints_test.cpp
@@ -65,6 +65,23 @@
       CHECK(choose({.requires_free_slot = true}) == "far");
     }
 
+    SECTION("a stream is continued only at endpoints with its software") {
+      endpoint_entry newer = make_endpoint("near", "dc-1");
+      newer.software = "models/v2";
+      endpoints.put(newer);
+      endpoint_entry older = make_endpoint("far", "dc-2");
+      older.software = "models/v1";
+      endpoints.put(older);
+      CHECK(choose({}) == "near");
+      CHECK(choose({.software = "models/v1"}) == "far");
+      CHECK(choose({.software = "models/v3"}).empty());
+      CHECK(endpoints.has_available("models", "models/v1"));
+      older.description.state = routing::endpoint_state::draining;
+      endpoints.put(older);
+      CHECK_FALSE(endpoints.has_available("models", "models/v1"));
+      CHECK(choose({.software = "models/v1"}).empty());
+    }
+
     SECTION("draining, excluded and misdirected endpoints are not chosen") {
       const std::vector<std::string> excluded = {"near"};
       CHECK(choose({.excluded = excluded}) == "far");
--- a/tests/jobs/job_documents_test.cpp
+++ b/tests/jobs/job_documents_test.cpp
@@ -68,10 +68,11 @@
   CHECK(list.value()[0].versions == std::vector<std::uint64_t>{6, 7});
   CHECK(list.value()[1].state == item_state::terminated);
 
-  const std::vector<item_progress> partial_texts = {{"i1", "a", 4, {6}}};
+  const std::vector<item_progress> partial_texts = {{"i1", "a", 4, {6}, "s/v2"}};
   const auto again = progress_from_document(to_document(partial_texts));
   REQUIRE(again);
   CHECK(again.value().at(0).last_event == 4);
+  CHECK(again.value().at(0).software == "s/v2");
   CHECK(again.value().at(0).versions == std::vector<std::uint64_t>{6});
 }
 
--- a/tests/jobs/job_run_test.cpp
+++ b/tests/jobs/job_run_test.cpp
@@ -43,7 +43,7 @@
 /// Runs an item to completion with events 1 to `n`.
 void run_to_completion(job_run& run, std::size_t item, std::uint64_t version, std::uint64_t n,
                        time_point now = start) {
-  run.started(item, "e1", now);
+  run.started(item, {"e1", "s/v1"}, now);
   REQUIRE(run.accept_version(item, version));
   for (std::uint64_t id = 1; id <= n; ++id) {
     REQUIRE(run.append_event(item, make_event(id, "t" + std::to_string(id)), now));
@@ -61,7 +61,7 @@
     std::vector<std::string> order;
     while (const auto n = run.next_item(start)) {
       order.push_back(run.item(*n).id);
-      run.started(*n, "e", start);
+      run.started(*n, {"e", "s/v1"}, start);
     }
     CHECK(order ==
           std::vector<std::string>{"g2i1", "g2i0", "g1i1", "g1i0", "g0i1", "g0i0", "g3i1", "g3i0"});
@@ -77,7 +77,7 @@
 
 TEST_CASE("the text of an item is built from the events of its runs") {
   job_run run(make_job(1, 1), {}, start);
-  run.started(0, "e1", start);
+  run.started(0, {"e1", "s/v1"}, start);
 
   SECTION("and its result names every weight version that generated an event") {
     REQUIRE(run.accept_version(0, 4));
@@ -106,7 +106,7 @@
     run.ended(0, run_outcome::broken, start);
     CHECK(run.last_event(0) == 1);
     CHECK(run.avoided_endpoints(0).front() == "e1");
-    run.started(0, "e2", start + seconds(1));
+    run.started(0, {"e2", "s/v1"}, start + seconds(1));
     REQUIRE(run.accept_version(0, 4));
     CHECK_FALSE(run.append_event(0, make_event(1, "a"), start));
     CHECK_FALSE(run.append_event(0, make_event(3, "c"), start));
@@ -146,7 +146,7 @@
   job contents = make_job(1, 1);
   contents.single_version = true;
   job_run run(std::move(contents), {}, start);
-  run.started(0, "e1", start);
+  run.started(0, {"e1", "s/v1"}, start);
   REQUIRE(run.accept_version(0, 4));
   REQUIRE(run.append_event(0, make_event(1, "a"), start));
   CHECK_FALSE(run.accept_version(0, 5));
@@ -166,7 +166,7 @@
     time_point now = start;
     int runs = 0;
     while (const auto n = run.next_item(now)) {
-      run.started(*n, "e", now);
+      run.started(*n, {"e", "s/v1"}, now);
       run.ended(*n, outcome, now);
       ++runs;
       now += seconds(30);
@@ -182,7 +182,7 @@
     std::vector<time_point> crashes;
     while (now < start + seconds(40)) {
       if (run.next_item(now)) {
-        run.started(0, "e", now);
+        run.started(0, {"e", "s/v1"}, now);
         run.ended(0, run_outcome::broken, now);
         crashes.push_back(now);
       }
@@ -210,7 +210,7 @@
     REQUIRE(run.append_event(item, make_event(id, "t"), start + at));
   };
   for (std::size_t n = 0; n < 3; ++n) {
-    run.started(n, n == 2 ? "slow" : "fast", start);
+    run.started(n, {n == 2 ? "slow" : "fast", "s/v1"}, start);
     REQUIRE(run.accept_version(n, 4));
   }
 
@@ -332,7 +332,7 @@
     // An instance that takes over the job continues after the last event and receives no further
     // one.
     job_run successor(make_job(3, 2, 2), {}, start, kept);
-    successor.started(2, "e2", start);
+    successor.started(2, {"e2", "s/v1"}, start);
     REQUIRE(successor.accept_version(2, 5));
     successor.ended(2, run_outcome::complete, start);
     CHECK(successor.next_reward(start) == 2);
@@ -342,7 +342,7 @@
 TEST_CASE("saved partial texts are continued by another instance") {
   // Models a power loss of all instances while texts that take several seconds are incomplete.
   job_run before(make_job(1, 2), {}, start);
-  before.started(0, "e1", start);
+  before.started(0, {"e1", "s/v1"}, start);
   REQUIRE(before.accept_version(0, 4));
   for (std::uint64_t id = 1; id <= 80; ++id) {
     REQUIRE(before.append_event(0, make_event(id, std::to_string(id)), start));
@@ -357,7 +357,7 @@
   job_run after(make_job(1, 2), {}, start, kept);
   CHECK(after.last_event(0) == 80);
   CHECK_FALSE(after.last_event(1));
-  after.started(0, "e2", start);
+  after.started(0, {"e2", "s/v1"}, start);
   REQUIRE(after.accept_version(0, 5));
   REQUIRE(after.append_event(0, make_event(81, "81"), start));
   after.ended(0, run_outcome::complete, start);
@@ -369,4 +369,64 @@
   CHECK(list.at(0).text.ends_with("80\n81"));
 }
 
+TEST_CASE("a text is continued only by the software that began it") {
+  job_run run(make_job(1, 2), {}, start);
+  CHECK(run.software(0).empty());
+  run.started(0, {"e1", "s/v1"}, start);
+  REQUIRE(run.accept_version(0, 4));
+
+  SECTION("a run without events leaves the choice open") {
+    run.ended(0, run_outcome::broken, start);
+    CHECK(run.software(0).empty());
+  }
+
+  SECTION("after its first events") {
+    for (std::uint64_t id = 1; id <= 30; ++id) {
+      REQUIRE(run.append_event(0, make_event(id, "t"), start));
+    }
+    run.ended(0, run_outcome::broken, start);
+    CHECK(run.software(0) == "s/v1");
+
+    SECTION("events of other software are rejected") {
+      run.started(0, {"e2", "s/v2"}, start);
+      REQUIRE(run.accept_version(0, 4));
+      CHECK_FALSE(run.append_event(0, make_event(31, "t"), start));
+    }
+    SECTION("it waits for a free slot no longer than generating it again takes") {
+      run.started(1, {"e2", "s/v2"}, start);
+      CHECK_FALSE(run.postpone(0, true, start));
+      CHECK_FALSE(run.next_item(start + milliseconds(49)));
+      CHECK(run.next_item(start + milliseconds(50)) == 0);
+      CHECK_FALSE(run.postpone(0, true, start + milliseconds(599)));
+      CHECK(run.last_event(0) == 30);
+      CHECK(run.postpone(0, true, start + milliseconds(600)));
+      CHECK_FALSE(run.last_event(0));
+    }
+    SECTION("it is generated again if no endpoint with its software is left") {
+      CHECK(run.postpone(0, false, start));
+      CHECK(run.software(0).empty());
+      run.started(0, {"e2", "s/v2"}, start);
+      REQUIRE(run.accept_version(0, 5));
+      REQUIRE(run.append_event(0, make_event(1, "n"), start));
+      run.ended(0, run_outcome::complete, start);
+      run.reward_started(0);
+      run.reward_ended(0, reward_outcome::scored, "s", 4, start);
+      const auto list = run.take_results(1'000'000, start);
+      CHECK(list.at(0).text == "n");
+      CHECK(list.at(0).versions == std::vector<std::uint64_t>{5});
+    }
+    SECTION("saved texts keep their software, and those without any are not used") {
+      auto kept = run.progress(100'000);
+      REQUIRE(kept.size() == 1);
+      CHECK(kept[0].software == "s/v1");
+      const job_run successor(make_job(1, 2), {}, start, kept);
+      CHECK(successor.software(0) == "s/v1");
+      CHECK(successor.last_event(0) == 30);
+      kept[0].software.clear();
+      const job_run other(make_job(1, 2), {}, start, kept);
+      CHECK_FALSE(other.last_event(0));
+    }
+  }
+}
+
 } // namespace boragedoor::jobs
--- a/tests/jobs/partial_text_cache_test.cpp
+++ b/tests/jobs/partial_text_cache_test.cpp
@@ -10,7 +10,7 @@
 
 item_progress make_text(const std::string& id, std::vector<std::uint64_t> versions,
                         std::size_t bytes = 100) {
-  return {id, std::string(bytes, 'x'), 90, std::move(versions)};
+  return {id, std::string(bytes, 'x'), 90, std::move(versions), "s/v1"};
 }
 
 job make_job(std::uint64_t minimum_version, const std::vector<std::string>& ids) {
--- a/tests/platform/text_version_test.cpp
+++ b/tests/platform/text_version_test.cpp
@@ -6,10 +6,11 @@
 
 namespace {
 
-constexpr int events = 60;
-constexpr duration interval = milliseconds(15);
-/// Events after which a text is saved, so that another instance can continue it.
-constexpr int saved_events = 30;
+/// A text takes two seconds, so that it is saved before it is complete.
+constexpr int events = 100;
+constexpr duration interval = milliseconds(20);
+/// Events of a text when its engine crashes.
+constexpr int early_events = 30;
 
 /// Whether all events of a text come from one version of the software.
 bool is_of_one_version(const std::string& text) {
@@ -30,7 +31,7 @@
   it.start("second", it.second);
   REQUIRE(it.call(*it.first, "POST", "/jobs/j1", to_text(make_job()), "key-n", "j1").status == 202);
   REQUIRE(it.loop->run_until([&] { return it.engine->open() == 4; }, wait_limit));
-  it.loop->run_until([] { return false; }, saved_events * interval);
+  it.loop->run_until([] { return false; }, early_events * interval);
   std::unique_ptr<replica_stand_in> newer = it.make_engine("e-2", "v2", interval, events);
   std::unique_ptr<replica_stand_in> older;
 
