Let callers' streams go on only at the software version that began them

A caller that took up a broken stream got its rest from any endpoint, also of another software version, in an answer that looked complete (ORDER); after all instances were killed at once nothing could know the version. Cause: a take-up was routed as a new request, and no record of the first version existed.

A take-up looks the attempt up (own memory, then one read) and goes to that software only. A stream that is unknown, whose record cannot be read, or whose software has left is refused with 503: it has not run.

Weighed: writing before the first event (4 ms on each stream), keeping the records at other instances (all are killed at once), inferring the version from a history of the registry (wrong while two versions serve).

--- a/libs/events/catalogue.cpp
+++ b/libs/events/catalogue.cpp
@@ -61,6 +61,8 @@
     {request_quarantined, error, "request_quarantined",
      "A request that brought down two endpoints is held back."},
     {attempt_hedged, info, "attempt_hedged", "A second attempt of a slow sample was started."},
+    {stream_not_recorded, warning, "stream_not_recorded",
+     "The software that began a stream is known to this instance only."},
     {endpoint_added, info, "endpoint_added", "An endpoint became available."},
     {endpoint_draining, info, "endpoint_draining",
      "An endpoint gets no new work because it is leaving."},
--- a/libs/events/catalogue.h
+++ b/libs/events/catalogue.h
@@ -51,6 +51,7 @@
   request_retried = 1407,
   request_quarantined = 1408,
   attempt_hedged = 1409,
+  stream_not_recorded = 1410,
 
   endpoint_added = 1501,
   endpoint_draining = 1502,
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/overloaded.h"
 #include "instance/call_limits.h"
 #include "instance/error_response.h"
 
@@ -77,7 +78,11 @@
       }
     });
     deadline_timer_.start_once(plan_.deadline() - context_.loop.now());
-    send_or_wait();
+    if (route_.matched_route->kind == dispatch::route_kind::stream && request_.continues_stream) {
+      find_origin();
+    } else {
+      send_or_wait();
+    }
   }
 
   /// Sends the request to an endpoint. If a permit is all that is missing and one may arrive soon,
@@ -91,8 +96,7 @@
     if (!wait_until_) {
       wait_until_ = std::min(now + permit_wait_, plan_.deadline());
     }
-    const auto permit_at = context_.endpoints.permit_expected_at(
-        {.service = service_, .excluded = plan_.attempted_endpoints()}, now);
+    const auto permit_at = context_.endpoints.permit_expected_at(requirements(), now);
     if (!permit_at || *permit_at > *wait_until_ || now >= *wait_until_) {
       respond_with_failure(permit_at ? *permit_at - now : duration::zero());
       return;
@@ -114,25 +118,67 @@
 private:
   struct attempt {
     std::string endpoint;
+    std::string software;
     std::shared_ptr<http1::call> call;
     time_point sent_at;
     bool execution_started = false;
     bool streaming = false;
   };
 
+  /// Finds out which software began the stream that the request continues. The rest must come from
+  /// the same one, so the request is rejected if that is not known.
+  void find_origin() {
+    owner_.origins_.find(request_.resumes, [self = weak_from_this()](const origin_answer& answer) {
+      const auto it = self.lock();
+      if (it == nullptr || !it->owner_.pending_.contains(it)) {
+        return;
+      }
+      std::visit(overloaded{[&](const known_origin& origin) { it->continue_at(origin.software); },
+                            [&](const unknown_origin&) { it->reject_continuation("unknown"); },
+                            [&](const unread_origin&) { it->reject_continuation("unread"); }},
+                 answer);
+    });
+  }
+
+  void continue_at(const std::string& software) {
+    software_ = software;
+    const auto& services = route_.matched_route->services;
+    const auto found =
+        std::find_if(services.begin(), services.end(), [&](const dispatch::service_share& it) {
+          return context_.endpoints.has_available(it.service, software_);
+        });
+    if (found == services.end()) {
+      reject_continuation("gone");
+      return;
+    }
+    service_ = found->service;
+    send_or_wait();
+  }
+
+  void reject_continuation(std::string_view reason) {
+    context_.record(event_number::request_refused, request_.attempt_id, {},
+                    {{"reason", "no_continuation"},
+                     {"origin", reason},
+                     {"resumes", request_.resumes},
+                     {"software", software_}});
+    exchange_->respond(error_response(service_unavailable, "no_continuation",
+                                      "no endpoint is known that can continue the stream",
+                                      executed::no, retry_delay()));
+    finish_request(service_unavailable, "no_continuation");
+  }
+
   /// Sends the request to an endpoint that was not tried yet. Returns false if there is none.
   bool send() {
     const time_point now = context_.loop.now();
     const auto chosen =
-        context_.endpoints.choose({.service = service_, .excluded = plan_.attempted_endpoints()},
-                                  context_.loop.now(), context_.random);
+        context_.endpoints.choose(requirements(), context_.loop.now(), context_.random);
     if (!chosen) {
       return false;
     }
     const send_context to{
         .endpoint = chosen->id, .workspace = route_.workspace, .time_left = plan_.deadline() - now};
-    auto it =
-        std::make_shared<attempt>(attempt{.endpoint = chosen->id, .call = {}, .sent_at = now});
+    auto it = std::make_shared<attempt>(
+        attempt{.endpoint = chosen->id, .software = chosen->software, .call = {}, .sent_at = now});
     http1::call_spec spec;
     spec.target = chosen->address;
     spec.message = context_.protocol.forward(exchange_->received(), to);
@@ -186,6 +232,9 @@
     if (route_.matched_route->kind == dispatch::route_kind::stream && is_success(head.status) &&
         !reply.signature.empty()) {
       it.streaming = true;
+      if (route_.matched_route->resumable && !request_.continues_stream) {
+        owner_.origins_.record(request_.attempt_id, it.software);
+      }
       exchange_->start({head.status, context_.protocol.forwarded_headers(head), {}});
     }
     return true;
@@ -316,6 +365,16 @@
     finish_request(status, "answered", it.endpoint);
   }
 
+  [[nodiscard]] dispatch::endpoint_requirements requirements() const {
+    return {.service = service_, .software = software_, .excluded = plan_.attempted_endpoints()};
+  }
+
+  [[nodiscard]] duration retry_delay() {
+    std::uniform_int_distribution<duration::rep> jitter(min_retry_after.count(),
+                                                        max_retry_after.count());
+    return duration(jitter(context_.random));
+  }
+
   /// `retry_after` is the time after which an endpoint may take the request, if it is known.
   void respond_with_failure(duration retry_after = duration::zero()) {
     if (endpoint_failure_) {
@@ -325,11 +384,9 @@
       return;
     }
     if (plan_.certainly_not_run()) {
-      std::uniform_int_distribution<duration::rep> jitter(min_retry_after.count(),
-                                                          max_retry_after.count());
       exchange_->respond(error_response(service_unavailable, "no_endpoint",
                                         "no endpoint can take the request now", executed::no,
-                                        retry_after + duration(jitter(context_.random))));
+                                        retry_after + retry_delay()));
       finish_request(service_unavailable, "no_endpoint");
       return;
     }
@@ -414,6 +471,8 @@
   dispatch::route_match route_;
   dispatch::attempt_plan plan_;
   std::string service_;
+  /// Software that must continue the stream; empty for a new request.
+  std::string software_;
   std::vector<std::shared_ptr<attempt>> attempts_;
   /// The last error response of an endpoint, forwarded if no attempt succeeds.
   std::optional<http1::response> endpoint_failure_;
@@ -429,7 +488,8 @@
   bool waits_for_permit_ = false;
 };
 
-forwarder::forwarder(instance_context& context) : context_(context) {}
+forwarder::forwarder(instance_context& context, stream_origin_task& origins)
+    : context_(context), origins_(origins) {}
 
 forwarder::~forwarder() = default;
 
--- a/libs/instance/forwarder.h
+++ b/libs/instance/forwarder.h
@@ -13,6 +13,7 @@
 #include "dispatch/attempt_plan.h"
 #include "http1/exchange.h"
 #include "instance/instance_context.h"
+#include "instance/stream_origin_task.h"
 
 namespace boragedoor::instance {
 
@@ -35,7 +36,7 @@
 /// Forwards callers' requests to endpoints and the endpoints' responses to the callers.
 class forwarder {
 public:
-  explicit forwarder(instance_context& context);
+  forwarder(instance_context& context, stream_origin_task& origins);
   ~forwarder();
   forwarder(const forwarder&) = delete;
   forwarder& operator=(const forwarder&) = delete;
@@ -61,6 +62,7 @@
   void remove_pending(const std::shared_ptr<pending_request>& request);
 
   instance_context& context_;
+  stream_origin_task& origins_;
   std::unordered_set<std::shared_ptr<pending_request>> pending_;
   /// Requests that wait for a permit to send to an endpoint that states a limit.
   std::vector<std::weak_ptr<pending_request>> waiting_;
