Place items again within a second after a burst of crashes

Reported from a system like ours: after a burst of crashes a sound item was never placed again.

The largest delay is 1 s now.

--- a/libs/jobs/job_run.h
+++ b/libs/jobs/job_run.h
@@ -46,9 +46,10 @@
 
 struct job_run_options {
   /// Delay after an unsuccessful run. It doubles with each further one, and is reset by an event.
-  /// The backoff limits how many endpoints a request that crashes its endpoint can crash.
+  /// It stays short: items never crash endpoints themselves, so one that was hit by many crashes is
+  /// still to be placed as soon as an endpoint takes it.
   duration initial_retry_delay = milliseconds(50);
-  duration max_retry_delay = seconds(20);
+  duration max_retry_delay = seconds(1);
   /// A text waits for a free slot at endpoints with its software at most as long as other software
   /// would need to generate it again: this time for each of its events.
   duration continuation_wait_per_event = milliseconds(20);
--- a/tests/dispatch/service_endpoints_test.cpp
+++ b/tests/dispatch/service_endpoints_test.cpp
@@ -340,4 +340,45 @@
   }
 }
 
+// Pattern: a burst in which a third of the engines crashes every 0.4 s, then calm.
+TEST_CASE("after a burst of crashes a waiting run finds an engine") {
+  auto endpoints = service_endpoints::create("dc-1").value();
+  random_engine random(1);
+  constexpr int engines = 9;
+  const auto name = [](int n) { return "e" + std::to_string(n); };
+  for (int n = 0; n < engines; ++n) {
+    endpoints.put(make_endpoint(name(n), "dc-" + std::to_string(n % 3 + 1), 1));
+  }
+  time_point now = start;
+  for (int burst = 0; burst < 15; ++burst, now += milliseconds(400)) {
+    for (int n = 0; n < engines; ++n) {
+      if ((n + burst) % 3 == 0) {
+        // Its runs break and further ones are refused a connection.
+        for (int failure = 0; failure < 4; ++failure) {
+          endpoints.note_sent(name(n), now);
+          endpoints.note_finished(name(n), routing::health_signal::failure, now);
+        }
+      }
+    }
+    endpoints.tick(now);
+  }
+  endpoints.tick(now);
+  CHECK(endpoints.choose(
+      {.service = "models", .model = "m", .requires_free_slot = true, .long_running = true}, now,
+      random));
+
+  SECTION("and so does one of the software version that began its text") {
+    endpoint_entry only = make_endpoint("e0", "dc-1", 1);
+    only.software = "models/v1";
+    endpoints.put(only);
+    now += seconds(5);
+    endpoints.tick(now);
+    CHECK(endpoints.choose({.service = "models",
+                            .software = "models/v1",
+                            .requires_free_slot = true,
+                            .long_running = true},
+                           now, random));
+  }
+}
+
 } // namespace boragedoor::dispatch
