End a limit only with a response that the endpoint itself completed

A refusal or an unsigned response without the limit's header ended the limit, although it need not carry it; the instance then sent without permits until the next response.

--- a/libs/instance/instance_context.cpp
+++ b/libs/instance/instance_context.cpp
@@ -34,8 +34,9 @@
   if (reply.running && reply.waiting) {
     endpoints.note_load(endpoint, *reply.running, *reply.waiting, now);
   }
-  if (reply.misdirected) {
-    // The response comes from another process.
+  // Another process says nothing about the endpoint, and only a response that the endpoint itself
+  // completed shows that it states no limit any more.
+  if (reply.misdirected || (!reply.request_limit && reply.signature.empty())) {
     return;
   }
   switch (endpoints.note_limit(endpoint, reply.request_limit, sent_at, now)) {
--- a/tests/platform/job_peer_test.cpp
+++ b/tests/platform/job_peer_test.cpp
@@ -132,12 +132,13 @@
   SECTION("end requests and partial texts reach the other instance") {
     CHECK(end("here"));
     CHECK_FALSE(end("elsewhere"));
-    const std::vector<jobs::item_progress> texts = {{"i1", "half a text", 90, {4, 5}}};
+    const std::vector<jobs::item_progress> texts = {{"i1", "half a text", 90, {4, 5}, "s/v1"}};
     requester.peer.send_texts(id, "north & south", texts);
     REQUIRE(loop->run_until([&] { return !other.texts.empty(); }, test_timeout));
     CHECK(other.workspace == "north & south");
     CHECK(other.texts[0].text == "half a text");
     CHECK(other.texts[0].versions == std::vector<std::uint64_t>{4, 5});
+    CHECK(other.texts[0].software == "s/v1");
   }
 
   SECTION("requests to an unresponsive instance have an unknown outcome or fail") {
--- a/tests/platform/request_limit_test.cpp
+++ b/tests/platform/request_limit_test.cpp
@@ -37,6 +37,31 @@
     REQUIRE(it.call(*instance, "POST", "/plans/7").status == 200);
   }
 
+  const auto known_limit = [&] { return it.first->context().endpoints.request_limit("p-1"); };
+  CHECK(known_limit() == limit);
+
+  SECTION("until it states none in a response of its own") {
+    it.plain->limit.clear();
+    SECTION("but not when it refuses a request") {
+      it.plain->full = true;
+      CHECK(it.call(*it.first, "POST", "/plans/7").status == 503);
+      CHECK(known_limit() == limit);
+    }
+    SECTION("nor in a response without its signature") {
+      it.plain->omit_signature = true;
+      CHECK(it.call(*it.first, "POST", "/plans/7").status != 200);
+      CHECK(known_limit() == limit);
+    }
+    it.plain->full = false;
+    it.plain->omit_signature = false;
+    REQUIRE(it.loop->run_until(
+        [&] {
+          it.call(*it.first, "POST", "/plans/7");
+          return !known_limit();
+        },
+        wait_limit));
+  }
+
   SECTION("when many requests come at once to both") {
     const std::size_t before = it.plain->executed_ids.size();
     const time_point start = it.loop->now();
