Let streams go on at endpoints that are ejected for the moment

Found by reading; has_ready replaces has_available. Also skips a request for permits whose endpoint ended its limit meanwhile.

--- a/libs/dispatch/service_endpoints.cpp
+++ b/libs/dispatch/service_endpoints.cpp
@@ -288,12 +288,13 @@
          holds_weights(it.entry, requirements);
 }
 
-bool service_endpoints::has_available(std::string_view service, std::string_view software) const {
+bool service_endpoints::has_ready(std::string_view service, std::string_view software) const {
   const auto found = services_.find(service);
   return found != services_.end() &&
          std::any_of(found->second.endpoints.begin(), found->second.endpoints.end(),
                      [software](const tracked_endpoint* it) {
-                       return it->available && it->entry.software == software;
+                       return it->entry.software == software &&
+                              it->entry.description.state == routing::endpoint_state::ready;
                      });
 }
 
@@ -313,7 +314,9 @@
 std::vector<permit_request> service_endpoints::take_permit_requests(time_point now) {
   std::vector<permit_request> list;
   for (std::string& id : std::exchange(wanted_permits_, {})) {
-    if (tracked_endpoint* it = find_tracked(id); it != nullptr && it->limit) {
+    // The endpoint may have been removed or have ended its limit meanwhile.
+    if (tracked_endpoint* it = find_tracked(id);
+        it != nullptr && it->limit && it->limit->wanted() > 0) {
       endpoint_permits& limit = *it->limit;
       const int count = limit.take_wanted();
       list.push_back({std::move(id), count, limit.per_second(), now - limit.stated_at()});
--- a/libs/dispatch/service_endpoints.h
+++ b/libs/dispatch/service_endpoints.h
@@ -143,8 +143,8 @@
   /// Updates the health states that depend on time.
   void tick(time_point now);
 
-  /// Whether an endpoint with this software accepts new requests.
-  [[nodiscard]] bool has_available(std::string_view service, std::string_view software) const;
+  /// Whether an endpoint with this software is in service, healthy or not.
+  [[nodiscard]] bool has_ready(std::string_view service, std::string_view software) const;
   /// Returns the number of endpoints of a service that accept new requests.
   [[nodiscard]] int available_count(std::string_view service) const;
   /// Returns the number of requests at an endpoint: its last load report plus the requests that
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -145,7 +145,7 @@
     const auto& services = route_.matched_route->services;
     const auto found =
         std::find_if(services.begin(), services.end(), [&](const dispatch::service_share& it) {
-          return context_.endpoints.has_available(it.service, software_);
+          return context_.endpoints.has_ready(it.service, software_);
         });
     if (found == services.end()) {
       reject_continuation("gone");
--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -158,8 +158,7 @@
 
 std::string job_runner::service_for(const dispatch::route& route, std::size_t n) {
   for (const dispatch::service_share& it : route.services) {
-    if (!run_.software(n).empty() &&
-        context_.endpoints.has_available(it.service, run_.software(n))) {
+    if (!run_.software(n).empty() && context_.endpoints.has_ready(it.service, run_.software(n))) {
       return it.service;
     }
   }
@@ -190,7 +189,7 @@
     chosen = context_.endpoints.choose(requirements, context_.loop.now(), context_.random);
   }
   if (!chosen && !requirements.software.empty()) {
-    if (!run_.postpone(n, context_.endpoints.has_available(service, requirements.software), now)) {
+    if (!run_.postpone(n, context_.endpoints.has_ready(service, requirements.software), now)) {
       return start_result::postponed;
     }
     context_.record(event_number::text_discarded, item.id, {}, {{"job", job.id}});
--- a/tests/dispatch/service_endpoints_test.cpp
+++ b/tests/dispatch/service_endpoints_test.cpp
@@ -75,10 +75,10 @@
       CHECK(choose({}) == "near");
       CHECK(choose({.software = "models/v1"}) == "far");
       CHECK(choose({.software = "models/v3"}).empty());
-      CHECK(endpoints.has_available("models", "models/v1"));
+      CHECK(endpoints.has_ready("models", "models/v1"));
       older.description.state = routing::endpoint_state::draining;
       endpoints.put(older);
-      CHECK_FALSE(endpoints.has_available("models", "models/v1"));
+      CHECK_FALSE(endpoints.has_ready("models", "models/v1"));
       CHECK(choose({.software = "models/v1"}).empty());
     }
 
