Run a trainer's sample again however many engines crashed under it

Reported from a system like ours; it can happen in the daemon too. A sample whose engines crashed twice became a crash suspect, was quarantined on all instances and reached the trainer with the error quarantined instead of a text, although samples never crash engines by themselves.

Samples have no fingerprint now, so they are neither suspects nor counted among those that ran along; every failure of a sample makes the ledger run it again. guarantees_crash_suspects_test has a new section that failed before (delivered as quarantined) and passes.

--- a/libs/daemon/completion_task.cpp
+++ b/libs/daemon/completion_task.cpp
@@ -17,7 +17,11 @@
                           : admission::request_class::rollout;
 }
 
+/// Returns the fingerprint under which a request can become a crash suspect; empty if it cannot.
 std::string fingerprint_of(const completion_spec& spec) {
+  if (spec.is_sample) {
+    return {};
+  }
   // The seed and the length do not decide whether a prompt crashes an engine.
   return requests::request_fingerprint(spec.workspace, spec.model, spec.prompt);
 }
@@ -223,7 +227,7 @@
 std::vector<std::string> completion_task::running_on(const std::string& endpoint) const {
   std::vector<std::string> list;
   for (const auto& [number, it] : active_) {
-    if (it->attempt && it->endpoint && it->endpoint->id == endpoint) {
+    if (it->attempt && it->endpoint && it->endpoint->id == endpoint && !it->fingerprint.empty()) {
       list.push_back(it->fingerprint);
     }
   }
@@ -426,7 +430,9 @@
                                   const attempt_failure& failure) {
   const std::string place = endpoint.id + '/' + endpoint.incarnation;
   auto& broken = broken_[place];
-  broken.push_back(it->fingerprint);
+  if (!it->fingerprint.empty()) {
+    broken.push_back(it->fingerprint);
+  }
   endpoints_.check_incarnation(
       endpoint, [this, it, endpoint, place, failure](std::optional<bool> alive) {
         if (alive == false) {
--- a/libs/daemon/completion_task.h
+++ b/libs/daemon/completion_task.h
@@ -33,6 +33,9 @@
   std::string key_id;
   std::string request_class;
   bool interactive = false;
+  /// A sample of a trainer's step. Samples never crash endpoints by themselves and are owed, so
+  /// they are not among the crash suspects.
+  bool is_sample = false;
   bool cheap_allowed = false;
   std::string pool;
   std::string model;
--- a/libs/daemon/trainer_task.cpp
+++ b/libs/daemon/trainer_task.cpp
@@ -344,6 +344,7 @@
                     std::to_string(it.attempt.token) + '-' + std::to_string(it.attempt.attempt);
   spec.workspace = trainer->workspace;
   spec.request_class = "rollout";
+  spec.is_sample = true;
   spec.model = it.model;
   spec.prompt = it.prompt;
   spec.max_tokens = static_cast<std::int64_t>(it.max_tokens);
@@ -373,18 +374,10 @@
       }
     });
   };
-  callbacks.on_failure = [this, step, attempt = it.attempt](const api_error& reason) {
-    context_.post([this, step, attempt, code = reason.code] {
-      auto* ledger = find(step);
-      if (ledger == nullptr) {
-        return;
-      }
-      if (code == "quarantined") {
-        ledger::sample_result sample;
-        sample.attempt = attempt;
-        sample.error = code;
-        run(step, ledger->finish_sample(context_.now(), std::move(sample)));
-      } else {
+  callbacks.on_failure = [this, step, attempt = it.attempt](const api_error& /*reason*/) {
+    // Whatever ended it, the sample is owed and runs again.
+    context_.post([this, step, attempt] {
+      if (auto* ledger = find(step)) {
         run(step, ledger->fail_sample(context_.now(), attempt));
       }
     });
--- a/libs/ledger/sample.h
+++ b/libs/ledger/sample.h
@@ -24,7 +24,7 @@
   /// All weight versions that generated the text, in any order. An attempt that has neither a
   /// version nor an error is treated as failed.
   std::vector<std::uint64_t> weight_versions;
-  /// Set if the sample can never run, for example "quarantined". The sample is then delivered with
+  /// Set if the sample can never run. The sample is then delivered with
   /// this error instead of text and versions, so that the step can complete.
   std::string error;
   /// Finish reason reported by the engine, for example "stop" or "length".
--- a/tests/daemon/guarantees_crash_suspects_test.cpp
+++ b/tests/daemon/guarantees_crash_suspects_test.cpp
@@ -78,4 +78,36 @@
   }
 }
 
+// Guards against a trainer's sample that is held back as a suspect because engines happened to
+// crash while they ran it. Samples are never requests that crash engines by themselves.
+TEST_CASE("a sample under which engines crashed is still run") {
+  cluster_options options = slow_engines();
+  options.engines = 3;
+  test_cluster cluster(options);
+  cluster.configure();
+  const std::string key = cluster.issue_key("north");
+  REQUIRE(cluster.await_shards());
+  for (const auto& it : cluster.engines) {
+    start_fault(cluster, *it, {{"kind", "crash_on"}, {"text", "unlucky"}, {"duration_ms", 300}});
+  }
+  const json step = {{"model", "planner"},
+                     {"weight_version", 1},
+                     {"staleness_bound", 2},
+                     {"max_tokens", 4},
+                     {"groups", json::array({{{"id", "g1"}, {"prompt", "unlucky"}, {"size", 1}}})}};
+  const std::string path = "/v1/trainers/tuner/steps/1";
+  REQUIRE(cluster.call_with_key(0, "PUT", path, step, key).status < 300);
+  REQUIRE(cluster.await([&] { return crashes_of(cluster) >= 2; }));
+  cluster.run_for(seconds(1));
+  for (const auto& it : cluster.engines) {
+    it->http().clear_faults();
+  }
+  const auto batch =
+      cluster.call_with_key(0, "GET", path + "/batches?after=0&wait_ms=20000", json(), key);
+  INFO(batch.body);
+  CHECK(batch.status == 200);
+  CHECK(batch.body.find("quarantined") == std::string::npos);
+  CHECK(batch.body.find("\"text\"") != std::string::npos);
+}
+
 } // namespace boragedoor::testing
