Record the software of streams every 100 ms

A stream that began after the last record of its instance cannot be continued when the instance is killed. Halves that time.

--- a/libs/instance/stream_origin_task.cpp
+++ b/libs/instance/stream_origin_task.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t max_key_size = 200;
 constexpr std::size_t max_records_at_once = 32;
 /// Time in which records are collected for one call.
-constexpr duration store_interval = milliseconds(200);
+constexpr duration store_interval = milliseconds(100);
 /// Interval at which old records are forgotten while no new ones come.
 constexpr duration expiry_interval = seconds(5);
 /// Lifetime of a lease, and how long new records use it. A record stays for at least the
