Let connections outlive their server until the event loop has run

With a request open when an instance ends (for example a stream at the end of a drain, or a test that kills an instance), the dropped exchange closed its connection through the freed server: the address sanitizer shows heap-use-after-free in platform_store_test and platform_stream_version_test. Connections closed by the server's destructor stay alive until the loop runs, but referred to members of the server.

--- a/libs/http1/server.cpp
+++ b/libs/http1/server.cpp
@@ -23,9 +23,9 @@
 } // namespace
 
 server::server(net::event_loop& loop, handler on_request, refusal on_refusal) : loop_(loop) {
-  shared_.handler = std::move(on_request);
-  shared_.refuse = std::move(on_refusal);
-  shared_.on_closed = [this](server_connection& it) {
+  shared_->handler = std::move(on_request);
+  shared_->refuse = std::move(on_refusal);
+  shared_->on_closed = [this](server_connection& it) {
     // The connection may be in the middle of a callback of its own.
     const auto found = connections_.find(&it);
     if (found != connections_.end()) {
@@ -43,6 +43,8 @@
   for (const auto& [key, it] : all) {
     it->close();
   }
+  // Requests without a response close their connection again when they are dropped.
+  shared_->on_closed = [](server_connection&) {};
 }
 
 result<std::unique_ptr<server>> server::listen(net::event_loop& loop, const net::address& at,
@@ -80,7 +82,7 @@
 }
 
 void server::drain() {
-  shared_.draining = true;
+  shared_->draining = true;
 }
 
 void server::close_idle() {
--- a/libs/http1/server.h
+++ b/libs/http1/server.h
@@ -30,7 +30,7 @@
 
   [[nodiscard]] const net::address& local_address() const { return local_; }
   /// Limits of connections from now on; open ones follow at their next step.
-  void set_limits(const server_limits& limits) { shared_.limits = limits; }
+  void set_limits(const server_limits& limits) { shared_->limits = limits; }
   /// Announces the end of each connection in its next response.
   void drain();
   /// Closes idle connections; those with a request in progress stay.
@@ -43,7 +43,7 @@
                         void* self);
 
   net::event_loop& loop_;
-  server_shared shared_;
+  std::shared_ptr<server_shared> shared_ = std::make_shared<server_shared>();
   evconnlistener* listener_ = nullptr;
   net::address local_;
   std::unordered_map<server_connection*, std::shared_ptr<server_connection>> connections_;
--- a/libs/http1/server_connection.cpp
+++ b/libs/http1/server_connection.cpp
@@ -32,10 +32,11 @@
 
 } // namespace
 
-server_connection::server_connection(net::event_loop& loop, server_shared& shared,
+server_connection::server_connection(net::event_loop& loop, std::shared_ptr<server_shared> shared,
                                      evutil_socket_t fd, std::string peer)
-    : shared_(shared), bev_(bufferevent_socket_new(
-                           loop.native(), fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)),
+    : shared_(std::move(shared)),
+      bev_(bufferevent_socket_new(loop.native(), fd,
+                                  BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)),
       peer_(std::move(peer)),
       parser_(message_kind::request,
               {.on_head = [this](const message_head& it) { return take_head(it); },
@@ -45,7 +46,7 @@
   bufferevent_setcb(bev_, &server_connection::on_read, &server_connection::on_write,
                     &server_connection::on_event, this);
   bufferevent_enable(bev_, EV_READ | EV_WRITE);
-  timer_.start_once(shared_.limits.idle_timeout);
+  timer_.start_once(shared_->limits.idle_timeout);
 }
 
 server_connection::~server_connection() {
@@ -105,12 +106,12 @@
     return false;
   }
   if (!std::exchange(head_started_, true)) {
-    timer_.start_once(shared_.limits.header_timeout);
+    timer_.start_once(shared_->limits.header_timeout);
   }
   const evbuffer_ptr end = evbuffer_search(input, head_end.data(), head_end.size(), nullptr);
   const std::size_t head_length =
       end.pos < 0 ? length : static_cast<std::size_t>(end.pos) + head_end.size();
-  if (head_length > shared_.limits.header_bytes) {
+  if (head_length > shared_->limits.header_bytes) {
     refuse(431, "the header fields are too large");
     return false;
   }
@@ -135,7 +136,7 @@
   }
   evbuffer_drain(input, head_length);
   phase_ = phase::body;
-  timer_.start_once(shared_.limits.idle_timeout);
+  timer_.start_once(shared_->limits.idle_timeout);
   if (message_done_) {
     dispatch();
   }
@@ -147,7 +148,7 @@
     return false;
   }
   const auto length = integer_header(head.headers, "Content-Length");
-  if (length && static_cast<std::uint64_t>(*length) > shared_.limits.body_bytes) {
+  if (length && static_cast<std::uint64_t>(*length) > shared_->limits.body_bytes) {
     refusal_ = 413;
     return false;
   }
@@ -174,11 +175,11 @@
     return false;
   }
   evbuffer_drain(input, used);
-  if (request_.body.size() > shared_.limits.body_bytes) {
+  if (request_.body.size() > shared_->limits.body_bytes) {
     refuse(413, "the body is too large");
     return false;
   }
-  timer_.start_once(shared_.limits.idle_timeout);
+  timer_.start_once(shared_->limits.idle_timeout);
   if (message_done_) {
     dispatch();
   }
@@ -192,18 +193,18 @@
   bufferevent_setwatermark(bev_, EV_READ, 0, pipelined_bytes);
   auto open = std::make_shared<exchange>(weak_from_this(), std::exchange(request_, {}), peer_);
   exchange_ = open;
-  shared_.handler(std::move(open));
+  shared_->handler(std::move(open));
 }
 
 void server_connection::refuse(int status, std::string_view message) {
   keep_alive_ = false;
   phase_ = phase::answering;
   timer_.cancel();
-  send_whole(shared_.refuse(status, message));
+  send_whole(shared_->refuse(status, message));
 }
 
 void server_connection::write_head(const response& it, bool chunked) {
-  const bool close = !keep_alive_ || shared_.draining;
+  const bool close = !keep_alive_ || shared_->draining;
   keep_alive_ = !close;
   std::string head = fmt::format("HTTP/1.1 {} {}\r\n", it.status, reason_phrase(it.status));
   for (const auto& [name, value] : it.headers) {
@@ -253,7 +254,7 @@
     // The write callback closes the connection once the response is out. A caller that does not
     // read is dropped after the idle timeout.
     phase_ = phase::closing;
-    timer_.start_once(shared_.limits.idle_timeout);
+    timer_.start_once(shared_->limits.idle_timeout);
     if (evbuffer_get_length(bufferevent_get_output(bev_)) == 0) {
       close();
     }
@@ -261,7 +262,7 @@
   }
   phase_ = phase::head;
   bufferevent_setwatermark(bev_, EV_READ, 0, 0);
-  timer_.start_once(shared_.limits.idle_timeout);
+  timer_.start_once(shared_->limits.idle_timeout);
   if (evbuffer_get_length(bufferevent_get_input(bev_)) > 0) {
     bufferevent_trigger(bev_, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
   }
@@ -272,7 +273,7 @@
   timer_.cancel();
   bufferevent_disable(bev_, EV_READ | EV_WRITE);
   bufferevent_setcb(bev_, nullptr, nullptr, nullptr, nullptr);
-  shared_.on_closed(*this);
+  shared_->on_closed(*this);
 }
 
 void server_connection::close_if_idle() {
--- a/libs/http1/server_connection.h
+++ b/libs/http1/server_connection.h
@@ -25,7 +25,8 @@
   duration idle_timeout = seconds(30);
 };
 
-/// What all connections of a server share.
+/// What all connections of a server share. A connection may outlive its server until the event loop
+/// has run its last callbacks.
 struct server_shared {
   std::function<void(std::shared_ptr<exchange>)> handler;
   std::function<void(server_connection&)> on_closed;
@@ -39,8 +40,8 @@
 /// One connection of a caller. Requests are answered one after the other.
 class server_connection : public std::enable_shared_from_this<server_connection> {
 public:
-  server_connection(net::event_loop& loop, server_shared& shared, evutil_socket_t fd,
-                    std::string peer);
+  server_connection(net::event_loop& loop, std::shared_ptr<server_shared> shared,
+                    evutil_socket_t fd, std::string peer);
   ~server_connection();
   server_connection(const server_connection&) = delete;
   server_connection& operator=(const server_connection&) = delete;
@@ -74,7 +75,7 @@
   void handle_end();
   void on_timeout();
 
-  server_shared& shared_;
+  std::shared_ptr<server_shared> shared_;
   bufferevent* bev_;
   std::string peer_;
   parser parser_;
--- a/tests/http1/server_test.cpp
+++ b/tests/http1/server_test.cpp
@@ -36,7 +36,7 @@
       },
       &refusal);
   REQUIRE(created);
-  const auto server = std::move(created).value();
+  auto server = std::move(created).value();
   const auto caller = connect_raw(*loop, server->local_address());
   const auto expect = [&](std::string_view text) {
     return loop->run_until([&] { return caller->received.find(text) != std::string::npos; },
@@ -58,6 +58,16 @@
     CHECK(caller->received.find("body of /1") != std::string::npos);
   }
 
+  SECTION("a request that is dropped unanswered after its server is gone harms nothing") {
+    // Guards against a use of the freed server, as the sanitizer showed.
+    hold = true;
+    caller->send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(loop->run_until([&] { return held != nullptr; }, patience));
+    server.reset();
+    held.reset();
+    CHECK(loop->run_until([&] { return caller->closed_by_peer; }, patience));
+  }
+
   SECTION("bodies arrive with a length and in chunks") {
     caller->send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhel");
     caller->send("loPOST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
