Log the endpoints that crash under callers' requests

An attempt that breaks off was logged as broken, whether the endpoint's process ended, a connection was reset or an answer was lost, and nothing tied the attempts of one request together. After an attempt that was sent and got no complete response, the instance now opens a connection to the endpoint: if none is accepted, endpoint_crashed names the endpoint's process and the fingerprint of the request (workspace, path and body), which is the same for all attempts of a caller.

--- a/libs/dispatch/service_endpoints.cpp
+++ b/libs/dispatch/service_endpoints.cpp
@@ -275,7 +275,8 @@
   if (best == nullptr) {
     return std::nullopt;
   }
-  return chosen_endpoint{best->entry.description.id, best->entry.address, best->entry.software};
+  return chosen_endpoint{best->entry.description.id, best->entry.address, best->entry.software,
+                         best->entry.process_start_ms};
 }
 
 bool service_endpoints::is_suitable(const tracked_endpoint& it,
--- a/libs/dispatch/service_endpoints.h
+++ b/libs/dispatch/service_endpoints.h
@@ -65,6 +65,8 @@
   net::address address;
   /// See `endpoint_entry::software`.
   std::string software;
+  /// See `endpoint_entry::process_start_ms`.
+  std::int64_t process_start_ms = 0;
 };
 
 /// Tracks the load and health of all services' endpoints and selects one for each request.
--- a/libs/events/catalogue.cpp
+++ b/libs/events/catalogue.cpp
@@ -77,6 +77,8 @@
      "An endpoint no longer states a limit of its requests."},
     {permits_unanswered, warning, "permits_unanswered",
      "An instance did not answer a request for permits to send to limited endpoints."},
+    {endpoint_crashed, warning, "endpoint_crashed",
+     "An endpoint takes no connections right after a caller's request to it broke off."},
     {step_opened, info, "step_opened", "A trainer opened a step."},
     {batch_committed, info, "batch_committed", "A batch of samples is durable in the store."},
     {batch_delivered, info, "batch_delivered",
--- a/libs/events/catalogue.h
+++ b/libs/events/catalogue.h
@@ -61,6 +61,7 @@
   endpoint_limited = 1506,
   endpoint_limit_ended = 1507,
   permits_unanswered = 1508,
+  endpoint_crashed = 1509,
 
   step_opened = 1601,
   batch_committed = 1602,
--- a/libs/http1/client.cpp
+++ b/libs/http1/client.cpp
@@ -79,6 +79,24 @@
   return connection;
 }
 
+void client::probe(const net::address& target, duration timeout,
+                   std::function<void(bool connected)> done) {
+  const auto connected = std::make_shared<bool>(false);
+  call_spec spec;
+  spec.target = target;
+  spec.connect_timeout = timeout;
+  spec.new_connection = true;
+  spec.may_send = [connected] {
+    *connected = true;
+    return false;
+  };
+  call_callbacks callbacks;
+  callbacks.on_end = [connected, done = std::move(done)](call_outcome, const response&) {
+    done(*connected);
+  };
+  send(std::move(spec), std::move(callbacks));
+}
+
 void client::drop_idle(const net::address& target) {
   const auto found = idle_.find(target);
   if (found == idle_.end()) {
--- a/libs/http1/client.h
+++ b/libs/http1/client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <unordered_map>
@@ -28,6 +29,11 @@
   /// Starts a call. Callbacks come from the loop, never before `send` returns.
   std::shared_ptr<call> send(call_spec spec, call_callbacks callbacks);
 
+  /// Opens a connection to a target and closes it without a request. Passes to `done` whether it was
+  /// established within `timeout`.
+  void probe(const net::address& target, duration timeout,
+             std::function<void(bool connected)> done);
+
   /// Closes the idle connections to a target, for example after one of them went silent.
   void drop_idle(const net::address& target);
 
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -65,6 +65,9 @@
         plan_(*route_.matched_route, context_.loop.now(),
               request_.timeout.value_or(default_timeout)),
         service_(dispatch::choose_service(*route_.matched_route, context_.random)),
+        fingerprint_(requests::request_fingerprint(route_.workspace,
+                                                   request_.host + exchange_->received().target,
+                                                   exchange_->received().body)),
         deadline_timer_(context_.loop, [this] { on_deadline(); }),
         hedge_timer_(context_.loop, [this] { on_hedge(); }),
         permit_timer_(context_.loop, [this] { on_permit_timeout(); }),
@@ -119,6 +122,8 @@
   struct attempt {
     std::string endpoint;
     std::string software;
+    /// Start of the endpoint's process, see `endpoint_entry::process_start_ms`.
+    std::int64_t process_start_ms = 0;
     std::shared_ptr<http1::call> call;
     time_point sent_at;
     bool execution_started = false;
@@ -177,8 +182,11 @@
     }
     const send_context to{
         .endpoint = chosen->id, .workspace = route_.workspace, .time_left = plan_.deadline() - now};
-    auto it = std::make_shared<attempt>(
-        attempt{.endpoint = chosen->id, .software = chosen->software, .call = {}, .sent_at = now});
+    auto it = std::make_shared<attempt>(attempt{.endpoint = chosen->id,
+                                                .software = chosen->software,
+                                                .process_start_ms = chosen->process_start_ms,
+                                                .call = {},
+                                                .sent_at = now});
     http1::call_spec spec;
     spec.target = chosen->address;
     spec.message = context_.protocol.forward(exchange_->received(), to);
@@ -308,11 +316,14 @@
       break;
     case http1::call_outcome::timed_out:
       signal = routing::health_signal::progress_timeout;
+      check_for_crash(it);
       break;
     case http1::call_outcome::malformed:
       signal = routing::health_signal::invalid_response;
+      check_for_crash(it);
       break;
     case http1::call_outcome::broken:
+      check_for_crash(it);
       break;
     }
     context_.endpoints.note_finished(it.endpoint, signal, now);
@@ -325,8 +336,17 @@
     return result;
   }
 
+  /// Finds out whether the endpoint crashed, after a request that had been sent got no complete
+  /// response.
+  void check_for_crash(const attempt& it) {
+    owner_.crashes_.check(request_.attempt_id, fingerprint_, {it.endpoint, it.process_start_ms});
+  }
+
   void end_stream(const attempt& it, http1::call_outcome outcome) {
     const bool complete_stream = outcome == http1::call_outcome::complete;
+    if (!complete_stream) {
+      check_for_crash(it);
+    }
     context_.endpoints.note_finished(it.endpoint,
                                      complete_stream ? routing::health_signal::success
                                                      : routing::health_signal::failure,
@@ -403,6 +423,7 @@
     for (const auto& it : attempts_) {
       context_.record(event_number::attempt_failed, request_.attempt_id, it->endpoint,
                       {{"reason", "deadline"}});
+      check_for_crash(*it);
     }
     cancel_attempts(routing::health_signal::progress_timeout);
     if (stream_started) {
@@ -471,6 +492,8 @@
   dispatch::route_match route_;
   dispatch::attempt_plan plan_;
   std::string service_;
+  /// Identifies the request among further attempts of its caller.
+  std::string fingerprint_;
   /// Software that must continue the stream; empty for a new request.
   std::string software_;
   std::vector<std::shared_ptr<attempt>> attempts_;
@@ -488,8 +511,8 @@
   bool waits_for_permit_ = false;
 };
 
-forwarder::forwarder(instance_context& context, stream_origin_task& origins)
-    : context_(context), origins_(origins) {}
+forwarder::forwarder(instance_context& context, stream_origin_task& origins, crash_task& crashes)
+    : context_(context), origins_(origins), crashes_(crashes) {}
 
 forwarder::~forwarder() = default;
 
--- a/libs/instance/forwarder.h
+++ b/libs/instance/forwarder.h
@@ -12,6 +12,7 @@
 
 #include "dispatch/attempt_plan.h"
 #include "http1/exchange.h"
+#include "instance/crash_task.h"
 #include "instance/instance_context.h"
 #include "instance/stream_origin_task.h"
 
@@ -36,7 +37,7 @@
 /// Forwards callers' requests to endpoints and the endpoints' responses to the callers.
 class forwarder {
 public:
-  forwarder(instance_context& context, stream_origin_task& origins);
+  forwarder(instance_context& context, stream_origin_task& origins, crash_task& crashes);
   ~forwarder();
   forwarder(const forwarder&) = delete;
   forwarder& operator=(const forwarder&) = delete;
@@ -63,6 +64,7 @@
 
   instance_context& context_;
   stream_origin_task& origins_;
+  crash_task& crashes_;
   std::unordered_set<std::shared_ptr<pending_request>> pending_;
   /// Requests that wait for a permit to send to an endpoint that states a limit.
   std::vector<std::weak_ptr<pending_request>> waiting_;
