--- /dev/null
+++ b/tests/platform/crashing_request_test.cpp
@@ -0,0 +1,158 @@
+#include <chrono>
+
+#include "platform_fixture.h"
+
+namespace boragedoor::platform {
+
+namespace {
+
+constexpr std::string_view crashing_target = "/plans/crash";
+/// The users' bound: how often a request may reach endpoints once it has crashed three of them and
+/// `settling_time` has passed.
+constexpr std::size_t allowed_retries = 3;
+constexpr std::size_t crashes_before_bound = 3;
+constexpr duration settling_time = seconds(3);
+
+/// Four endpoints that crash when they begin to execute a request to `crashing_target`.
+struct crash_fixture : platform_fixture {
+  crash_fixture() {
+    plain->crashing_target = crashing_target;
+    for (int n = 2; n <= 4; ++n) {
+      others.push_back(std::make_unique<replica_stand_in>(
+          *loop, store,
+          replica_stand_in::options{.id = "p-" + std::to_string(n), .service = "plain"}));
+      others.back()->crashing_target = crashing_target;
+    }
+  }
+
+  void for_each_endpoint(const std::function<void(replica_stand_in&)>& visit) {
+    visit(*plain);
+    for (const auto& it : others) {
+      visit(*it);
+    }
+  }
+
+  /// Number of times that endpoints began to execute a caller's requests with this id prefix.
+  std::size_t executions(std::string_view prefix) {
+    std::size_t n = 0;
+    for_each_endpoint([&](const replica_stand_in& it) {
+      n += static_cast<std::size_t>(
+          std::count_if(it.executed_ids.begin(), it.executed_ids.end(),
+                        [&](const std::string& id) { return id.starts_with(prefix); }));
+    });
+    return n;
+  }
+
+  /// Waits until all endpoints run again and an instance knows them.
+  void wait_for_endpoints(const serving_process& at) {
+    REQUIRE(loop->run_until(
+        [&] {
+          bool all = true;
+          for_each_endpoint([&](const replica_stand_in& it) {
+            all = all && it.is_running() &&
+                  const_cast<serving_process&>(at).context().endpoints.find(it.id()) != nullptr;
+          });
+          return all;
+        },
+        wait_limit));
+  }
+
+  int send_crashing(const serving_process& at, const std::string& key = "key-n") {
+    return call(at, "POST", std::string(crashing_target), "body that crashes", key,
+                "x" + std::to_string(++sent))
+        .status;
+  }
+
+  std::vector<std::unique_ptr<replica_stand_in>> others;
+  int sent = 0;
+};
+
+} // namespace
+
+// Guards against a request that crashes the endpoints that run it being sent to more and more of
+// them, because each attempt of the caller counts anew.
+TEST_CASE("a request that has crashed three endpoints is not sent to further ones") {
+  crash_fixture it;
+  const auto known_everywhere = [&] {
+    it.wait_for_endpoints(*it.first);
+    if (it.second) {
+      it.wait_for_endpoints(*it.second);
+    }
+  };
+  const auto crash_three = [&](const std::vector<serving_process*>& instances) {
+    for (std::size_t n = 0; it.executions("x") < crashes_before_bound; ++n) {
+      REQUIRE(n < 2 * crashes_before_bound);
+      known_everywhere();
+      it.send_crashing(*instances[n % instances.size()]);
+    }
+    it.loop->run_until([] { return false; }, settling_time);
+  };
+  const auto check_repetitions = [&](const std::vector<serving_process*>& instances) {
+    constexpr int repetitions = 8;
+    const std::size_t before = it.executions("x");
+    for (int n = 0; n < repetitions; ++n) {
+      known_everywhere();
+      const int status =
+          it.send_crashing(*instances[static_cast<std::size_t>(n) % instances.size()]);
+      CHECK((status == 503 || status == 502));
+    }
+    CHECK(it.executions("x") - before <= allowed_retries);
+    CHECK(it.call(*instances.front(), "POST", "/plans/7", "another body").status == 200);
+  };
+
+  SECTION("when it comes again at the same instance") {
+    crash_three({it.first.get()});
+    check_repetitions({it.first.get()});
+  }
+
+  SECTION("when it comes again at another instance") {
+    it.start("second", it.second);
+    SECTION("that saw some of the crashes") {
+      crash_three({it.first.get(), it.second.get()});
+      check_repetitions({it.first.get(), it.second.get()});
+    }
+    SECTION("that saw none of them") {
+      crash_three({it.first.get()});
+      check_repetitions({it.second.get()});
+    }
+    SECTION("and all instances have been killed since") {
+      crash_three({it.first.get()});
+      it.first.reset();
+      it.second.reset();
+      it.start("first", it.first);
+      it.start("second", it.second);
+      check_repetitions({it.second.get(), it.first.get()});
+    }
+  }
+}
+
+// Guards against sound requests being refused because they ran at endpoints that crashed for
+// another reason.
+TEST_CASE("a request that ran at crashing endpoints is served again once it completes elsewhere") {
+  constexpr int rounds = 4;
+  crash_fixture it;
+  for (int n = 0; n < rounds; ++n) {
+    it.wait_for_endpoints(*it.first);
+    std::optional<int> status;
+    it.for_each_endpoint([](replica_stand_in& one) { one.silent = true; });
+    it.send(
+        *it.first, "POST", "/plans/7", "s" + std::to_string(n),
+        [&](const http1::response& answer) { status = answer.status; }, "sound body");
+    replica_stand_in* running = nullptr;
+    const auto find_running = [&] {
+      it.for_each_endpoint(
+          [&](replica_stand_in& one) { running = one.last.body.empty() ? running : &one; });
+      return running != nullptr;
+    };
+    REQUIRE(it.loop->run_until(find_running, wait_limit));
+    it.for_each_endpoint([](replica_stand_in& one) {
+      one.silent = false;
+      one.last.body.clear();
+    });
+    running->crash_and_restart();
+    REQUIRE(it.loop->run_until([&] { return status.has_value(); }, wait_limit));
+    CHECK(status == 200);
+  }
+}
+
+} // namespace boragedoor::platform
--- a/tests/platform/replica_stand_in.cpp
+++ b/tests/platform/replica_stand_in.cpp
@@ -11,14 +11,38 @@
 
 namespace boragedoor::platform {
 
+namespace {
+
+/// Time that a crashed replica is down.
+constexpr duration restart_delay = milliseconds(600);
+
+} // namespace
+
 replica_stand_in::replica_stand_in(net::event_loop& loop, store_stand_in& store, options config)
-    : loop_(loop), store_(store), options_(std::move(config)), timer_(loop, [this] { tick(); }) {
+    : loop_(loop), store_(store), options_(std::move(config)), timer_(loop, [this] { tick(); }),
+      restart_timer_(loop, [this] { restart(); }) {
+  listen({"127.0.0.1", 0});
+  timer_.start_periodic(options_.interval);
+  announce();
+}
+
+void replica_stand_in::listen(const net::address& at) {
   server_ = http1::server::listen(
-                loop, {"127.0.0.1", 0}, [this](const auto& exchange) { on_call(exchange); },
+                loop_, at, [this](const auto& exchange) { on_call(exchange); },
                 &instance::listener_refusal)
                 .value();
   address_ = server_->local_address();
-  timer_.start_periodic(options_.interval);
+}
+
+void replica_stand_in::crash_and_restart() {
+  crash();
+  restart_timer_.start_once(restart_delay);
+}
+
+void replica_stand_in::restart() {
+  store_.erase("servers/" + options_.id);
+  options_.id += "." + std::to_string(++restarts_);
+  listen(address_);
   announce();
 }
 
@@ -39,13 +63,14 @@
                                         {"cold_remaining_ms", 0},
                                         {"models", models},
                                         {"sequence", 1},
-                                        {"born", 1}});
+                                        {"born", 1 + restarts_}});
 }
 
 void replica_stand_in::crash() {
   for (run& it : std::exchange(open_runs_, {})) {
     it.exchange->abort();
   }
+  unanswered_.clear();
   server_.reset();
 }
 
@@ -83,6 +108,11 @@
   }
   const std::string id(net::find_header(request.headers, "Attempt-Id"));
   executed_ids.push_back(id);
+  if (!crashing_target.empty() && request.target == crashing_target) {
+    // The server must not be destroyed within its own callback.
+    loop_.post([this, exchange] { crash_and_restart(); });
+    return;
+  }
   if (!options_.model.empty()) {
     start_stream(exchange);
     return;
--- a/tests/platform/replica_stand_in.h
+++ b/tests/platform/replica_stand_in.h
@@ -43,6 +43,8 @@
   void announce(const std::string& state = "ready");
   /// Resets all connections and leaves the registry entry, as a killed process does.
   void crash();
+  /// Crashes and, a moment later, starts a new process with another id at the same address.
+  void crash_and_restart();
 
   /// Attempt ids of the executed requests, in order.
   std::vector<std::string> executed_ids;
@@ -56,9 +58,13 @@
   bool full = false;
   /// Leaves requests without a response.
   bool silent = false;
+  /// Crashes when it begins to execute a request with this target, and starts again a moment later.
+  std::string crashing_target;
   /// Omits the signature from responses of a plain service.
   bool omit_signature = false;
   [[nodiscard]] std::uint64_t version() const { return options_.version; }
+  [[nodiscard]] const std::string& id() const { return options_.id; }
+  [[nodiscard]] bool is_running() const { return server_ != nullptr; }
   [[nodiscard]] int open() const { return static_cast<int>(open_runs_.size()); }
 
 private:
@@ -70,10 +76,13 @@
   void start_stream(const std::shared_ptr<http1::exchange>& exchange);
   void on_order(const std::shared_ptr<http1::exchange>& exchange);
   void tick();
+  void listen(const net::address& at);
+  void restart();
 
   net::event_loop& loop_;
   store_stand_in& store_;
   options options_;
+  int restarts_ = 0;
   net::address address_;
   std::unique_ptr<http1::server> server_;
   std::deque<run> open_runs_;
@@ -81,6 +90,7 @@
   std::uint64_t accepted_orders_ = 0;
   std::uint64_t last_fencing_token_ = 0;
   net::timer timer_;
+  net::timer restart_timer_;
 };
 
 } // namespace boragedoor::platform
