Hold requests under which three endpoints have crashed

Callers saw endpoints disappear one after the other: a request that crashes each endpoint that runs it came again, and each attempt was sent to up to max_attempts further endpoints.

Cause: attempt_plan and forwarder know a request for one attempt of its caller only. Nothing remembered that endpoints had ended under it, in the same instance or another one. (Class: a bound that holds for a caller's request was kept per attempt.)

Now crash_task keeps requests::crash_suspects, the daemon's policy, with records in the store that every instance watches. Three crashes hold the request everywhere; a completed response removes its records. Ruled out as only cause: retries within one attempt (they are bounded by the route).

--- a/libs/events/catalogue.cpp
+++ b/libs/events/catalogue.cpp
@@ -59,7 +59,7 @@
      "The caller left, or its key was withdrawn, before the answer was whole."},
     {request_retried, info, "request_retried", "A request is tried again."},
     {request_quarantined, error, "request_quarantined",
-     "A request that brought down two endpoints is held back."},
+     "A request under which several endpoints crashed is held back."},
     {attempt_hedged, info, "attempt_hedged", "A second attempt of a slow sample was started."},
     {stream_not_recorded, warning, "stream_not_recorded",
      "The software that began a stream is known to this instance only."},
--- a/libs/instance/crash_task.h
+++ b/libs/instance/crash_task.h
@@ -1,10 +1,16 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "instance/instance_context.h"
+#include "instance/prefix_watch.h"
 #include "requests/crash_suspects.h"
 
 namespace boragedoor::instance {
@@ -16,10 +22,18 @@
   std::int64_t start_ms = 0;
 };
 
-/// Finds out which callers' requests crash the endpoints that run them.
+/// Prefix of the crash records in the store.
+inline constexpr std::string_view crash_prefix = "boragedoor/crashes/";
+
+/// Finds out which callers' requests crash the endpoints that run them, and tells the instances not
+/// to send them any more.
+///
+/// Design note: the records are in the store, because callers come again at any instance, also
+/// after all instances were killed. A request that completes has its records removed: it ran beside
+/// others at endpoints that crashed.
 class crash_task {
 public:
-  explicit crash_task(instance_context& context) : context_(context) {}
+  explicit crash_task(instance_context& context);
   ~crash_task() { *alive_ = false; }
   crash_task(const crash_task&) = delete;
   crash_task& operator=(const crash_task&) = delete;
@@ -31,11 +45,44 @@
   void check(const std::string& request, const std::string& fingerprint,
              const endpoint_process& process);
 
+  /// Records that an endpoint completed a response to the request, so that it does not crash
+  /// endpoints.
+  void note_completed(const std::string& fingerprint);
+  /// Whether an endpoint crashed under the request since it last completed.
+  [[nodiscard]] bool is_suspect(const std::string& fingerprint) const {
+    return suspects_.is_suspect(fingerprint);
+  }
+  /// Whether so many endpoints crashed under the request that it must not be sent to another one.
+  [[nodiscard]] bool is_held(const std::string& fingerprint) const {
+    return suspects_.is_held(fingerprint);
+  }
+
+  void start() { watch_.start(); }
+  /// Sets the pause between watch calls, which depends on the number of instances.
+  void set_watch_pause(duration pause) { watch_.set_pause(pause); }
+
 private:
+  using record_list = std::vector<requests::crash_record>;
+
   void record_crash(const std::string& request, const std::string& fingerprint,
                     const endpoint_process& process);
+  void on_put(const stored_item& it);
+  void on_removed(const std::string& key);
+  void store_records();
+  void commit_records(std::uint64_t lease);
+  /// Handles the outcome of storing `batch`.
+  void on_stored(const record_list& batch, store_status status);
 
   instance_context& context_;
+  requests::crash_suspects suspects_;
+  /// Records in the store by their keys.
+  std::map<std::string, requests::crash_record> stored_;
+  /// Records to be stored, the oldest first.
+  std::deque<requests::crash_record> unstored_;
+  /// Whether a call that stores records is in progress.
+  bool storing_ = false;
+  prefix_watch watch_;
+  net::timer retry_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -24,6 +24,10 @@
 /// a limit. A caller that is refused by then can still be served in time by a further attempt.
 constexpr double permit_wait_share = 0.25;
 
+/// Retry-After time of requests that crash endpoints. They do not become harmless within the time
+/// that callers wait.
+constexpr duration held_retry_after = seconds(60);
+
 /// Timeout of requests that state none. The timeout of the route applies if it is shorter.
 constexpr duration default_timeout = std::chrono::hours(1);
 
@@ -81,6 +85,10 @@
       }
     });
     deadline_timer_.start_once(plan_.deadline() - context_.loop.now());
+    if (is_held()) {
+      respond_with_failure();
+      return;
+    }
     if (route_.matched_route->kind == dispatch::route_kind::stream && request_.continues_stream) {
       find_origin();
     } else {
@@ -92,6 +100,10 @@
   /// waits for it; otherwise responds with a failure.
   void send_or_wait() {
     permit_timer_.cancel();
+    if (is_held()) {
+      respond_with_failure();
+      return;
+    }
     if (send()) {
       return;
     }
@@ -172,6 +184,8 @@
     finish_request(service_unavailable, "no_continuation");
   }
 
+  [[nodiscard]] bool is_held() const { return owner_.crashes_.is_held(fingerprint_); }
+
   /// Sends the request to an endpoint that was not tried yet. Returns false if there is none.
   bool send() {
     const time_point now = context_.loop.now();
@@ -327,6 +341,10 @@
       break;
     }
     context_.endpoints.note_finished(it.endpoint, signal, now);
+    if (result == dispatch::attempt_result::answered ||
+        result == dispatch::attempt_result::failed) {
+      owner_.crashes_.note_completed(fingerprint_);
+    }
     if (result == dispatch::attempt_result::answered) {
       context_.endpoints.note_latency(it.endpoint, now - it.sent_at, now);
     } else {
@@ -344,7 +362,9 @@
 
   void end_stream(const attempt& it, http1::call_outcome outcome) {
     const bool complete_stream = outcome == http1::call_outcome::complete;
-    if (!complete_stream) {
+    if (complete_stream) {
+      owner_.crashes_.note_completed(fingerprint_);
+    } else {
       check_for_crash(it);
     }
     context_.endpoints.note_finished(it.endpoint,
@@ -403,6 +423,10 @@
       finish_request(endpoint_failure_->status, "endpoint_error");
       return;
     }
+    if (is_held()) {
+      refuse_held_request();
+      return;
+    }
     if (plan_.certainly_not_run()) {
       exchange_->respond(error_response(service_unavailable, "no_endpoint",
                                         "no endpoint can take the request now", executed::no,
@@ -415,6 +439,20 @@
     finish_request(bad_gateway, "endpoint_failed");
   }
 
+  /// The request has crashed endpoints and is not sent to further ones.
+  void refuse_held_request() {
+    constexpr std::string_view reason = "crashes_endpoints";
+    const bool not_run = plan_.certainly_not_run();
+    const int status = not_run ? service_unavailable : bad_gateway;
+    context_.record(event_number::request_quarantined, request_.attempt_id, {},
+                    {{"fingerprint", fingerprint_}, {"status", status}});
+    exchange_->respond(error_response(status, reason,
+                                      "endpoints crashed when they ran this request",
+                                      not_run ? executed::no : executed::unknown,
+                                      not_run ? std::optional(held_retry_after) : std::nullopt));
+    finish_request(status, reason);
+  }
+
   void on_deadline() {
     const auto keep_alive = shared_from_this();
     const bool not_run = plan_.certainly_not_run();
@@ -449,7 +487,9 @@
   }
 
   void on_hedge() {
-    if (plan_.may_hedge(context_.loop.now()) && send()) {
+    // A copy of a request that crashes endpoints crashes a second one.
+    if (plan_.may_hedge(context_.loop.now()) && !owner_.crashes_.is_suspect(fingerprint_) &&
+        send()) {
       context_.record(event_number::attempt_hedged, request_.attempt_id,
                       plan_.attempted_endpoints().back());
     }
--- a/libs/requests/crash_suspects.cpp
+++ b/libs/requests/crash_suspects.cpp
@@ -10,8 +10,6 @@
 namespace {
 
 constexpr std::size_t max_name_bytes = 128;
-/// A single crash does not show which of the running requests caused it.
-constexpr std::size_t crashes_to_quarantine = 2;
 
 bool is_valid_name(const std::string& name) {
   return !name.empty() && name.size() <= max_name_bytes;
@@ -96,7 +94,24 @@
 
 void crash_suspects::remove_oldest() {
   const auto [at, id, fingerprint] = *by_time_.begin();
-  by_time_.erase(by_time_.begin());
+  erase(at, id, fingerprint);
+}
+
+void crash_suspects::remove(const crash_record& record) {
+  const crash_id id{record.endpoint, record.incarnation};
+  const auto process = crashes_.find(id);
+  if (process == crashes_.end()) {
+    return;
+  }
+  const auto found = process->second.requests.find(record.fingerprint);
+  if (found != process->second.requests.end()) {
+    // The record may be known with an earlier time, from another instance.
+    erase(wall_time(found->second), id, std::string(record.fingerprint));
+  }
+}
+
+void crash_suspects::erase(wall_time at, const crash_id& id, const std::string& fingerprint) {
+  by_time_.erase({at, id, fingerprint});
   const auto process = crashes_.find(id);
   process->second.requests.erase(fingerprint);
   if (process->second.requests.empty()) {
@@ -163,21 +178,22 @@
   std::vector<crash_id> list;
   const auto it = by_fingerprint_.find(fingerprint);
   if (it != by_fingerprint_.end()) {
-    std::ranges::copy_if(it->second, std::back_inserter(list),
-                         [&](const crash_id& id) { return is_only_suspect(fingerprint, id); });
+    std::ranges::copy_if(it->second, std::back_inserter(list), [&](const crash_id& id) {
+      return options_.count_shared_crashes || is_only_suspect(fingerprint, id);
+    });
   }
   return list;
 }
 
 bool crash_suspects::is_held(std::string_view fingerprint) const {
-  return counted_crashes(fingerprint).size() >= crashes_to_quarantine;
+  return counted_crashes(fingerprint).size() >= options_.crashes_to_hold;
 }
 
 bool crash_suspects::is_quarantined(time_point now, std::string_view fingerprint) const {
   const std::vector<crash_id> list = counted_crashes(fingerprint);
   return static_cast<std::size_t>(std::ranges::count_if(list, [&](const crash_id& id) {
            return crashes_.at(id).received_at + options_.quarantine_delay <= now;
-         })) >= crashes_to_quarantine;
+         })) >= options_.crashes_to_hold;
 }
 
 bool crash_suspects::separation_delay_passed(time_point now) const {
--- a/libs/requests/crash_suspects.h
+++ b/libs/requests/crash_suspects.h
@@ -39,6 +39,13 @@
 result<std::vector<crash_record>> crash_records_from_json(const json& value);
 
 struct suspect_options {
+  /// Number of counted crashes after which a request is held. A single crash does not show which of
+  /// the running requests caused it.
+  std::size_t crashes_to_hold = 2;
+  /// Whether a crash counts against all requests that were running. Then suspects need not be kept
+  /// apart, but more crashes are needed to tell them from harmless requests, and the records of a
+  /// request that completes must be removed.
+  bool count_shared_crashes = false;
   /// How long a record is kept. Callers resend a request within minutes, if at all.
   duration retention = std::chrono::hours(1);
   /// Maximum number of records; the oldest are evicted first. At about 300 bytes each, 4096 take
@@ -62,7 +69,8 @@
 /// A suspect is a request that was running at a crash. A crash counts against a request if none of
 /// the other requests in the crashed process had been running at an earlier crash, that is, if the
 /// request was the only suspect or there were no suspects yet. After two such crashes the request
-/// is held, and after `quarantine_delay` it is quarantined.
+/// is held, and after `quarantine_delay` it is quarantined. `suspect_options` can change both the
+/// number and which crashes count.
 ///
 /// For example, if a harmless request was running at several crashes that another request caused,
 /// only the earliest of them counts against the harmless one.
@@ -81,12 +89,14 @@
   /// Adds records received from a peer. Returns the new ones, to be forwarded to other peers.
   std::vector<crash_record> merge(time_point now, wall_time wall,
                                   std::span<const crash_record> records);
+  /// Removes a record, for example because the request has completed since.
+  void remove(const crash_record& record);
   /// Removes records older than the retention period.
   void expire(time_point now, wall_time wall);
 
   /// Returns whether the request was running during any recorded crash.
   [[nodiscard]] bool is_suspect(std::string_view fingerprint) const;
-  /// Returns whether two crashes count against the request according to the records received so
+  /// Returns whether enough crashes count against the request according to the records received so
   /// far. A held request must not run on any endpoint.
   [[nodiscard]] bool is_held(std::string_view fingerprint) const;
   /// Returns whether the request is held and all instances have had time to report which other
@@ -113,6 +123,8 @@
   explicit crash_suspects(suspect_options options) : options_(options) {}
   bool insert(time_point now, wall_time wall, const crash_record& record);
   void remove_oldest();
+  /// Removes the record of a request at a crash, made at the time `at`.
+  void erase(wall_time at, const crash_id& id, const std::string& fingerprint);
   /// Returns the earliest time at which an instance detected the crash.
   [[nodiscard]] wall_time crash_time(const crash_id& id) const;
   /// Returns the crashes that count against a request.
--- a/tests/requests/crash_suspects_test.cpp
+++ b/tests/requests/crash_suspects_test.cpp
@@ -76,6 +76,108 @@
   }
 }
 
+// Guards against a request that crashes endpoints being sent to further ones, because it comes
+// again at other instances, beside other requests, while the records of its crashes are under way.
+TEST_CASE("a crashing request that comes again at any of many instances is held everywhere") {
+  constexpr std::size_t instance_count = 60;
+  constexpr std::size_t crashes_to_hold = 3;
+  constexpr std::size_t allowed_retries = 3;
+  constexpr duration settling_time = seconds(3);
+  constexpr duration max_delay = milliseconds(1500);
+  testing::check_property("few executions after the third crash", [&] {
+    random_engine random(
+        *rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint64_t>()).as("seed"));
+    const auto pick = [&](std::uint64_t n) { return testing::pick(random, n); };
+    std::vector<crash_suspects> instances(
+        instance_count,
+        crash_suspects::create({.crashes_to_hold = crashes_to_hold, .count_shared_crashes = true}));
+    struct message {
+      std::size_t to;
+      time_point at;
+      std::vector<crash_record> records;
+    };
+    std::vector<message> messages;
+    time_point now{};
+    std::optional<time_point> third_crash;
+    std::size_t crashes = 0;
+    std::size_t late_retries = 0;
+    for (int n = 0; n < 300; ++n) {
+      now += milliseconds(pick(200));
+      const wall_time wall = start + now.time_since_epoch();
+      std::erase_if(messages, [&](const message& it) {
+        if (it.at <= now) {
+          instances[it.to].merge(now, wall, it.records);
+        }
+        return it.at <= now;
+      });
+      const std::size_t at = pick(instance_count);
+      if (pick(20) == 0) {
+        // The instance starts again and reads the records of the others.
+        instances[at] = crash_suspects::create(
+            {.crashes_to_hold = crashes_to_hold, .count_shared_crashes = true});
+        instances[at].merge(now, wall, instances[(at + 1) % instance_count].records());
+      }
+      if (instances[at].is_held("crashing")) {
+        continue;
+      }
+      late_retries += third_crash && now - *third_crash >= settling_time ? 1 : 0;
+      // Another request runs beside it and is sent again at the same instance, where it completes.
+      const std::string sound = "sound" + std::to_string(pick(4));
+      RC_ASSERT(!instances[at].is_held(sound));
+      const auto records =
+          instances[at].record_crash(now, wall, "e" + std::to_string(pick(9)),
+                                     std::to_string(++crashes), names{"crashing", sound});
+      if (crashes == crashes_to_hold) {
+        third_crash = now;
+      }
+      std::vector<crash_record> shared;
+      for (const crash_record& it : records) {
+        if (it.fingerprint == sound) {
+          instances[at].remove(it);
+        } else {
+          shared.push_back(it);
+        }
+      }
+      for (std::size_t to = 0; to < instance_count; ++to) {
+        messages.push_back(
+            {to, now + duration(pick(static_cast<std::uint64_t>(max_delay.count()))), shared});
+      }
+    }
+    RC_ASSERT(third_crash.has_value());
+    RC_ASSERT(late_retries <= allowed_retries);
+    for (const crash_suspects& it : instances) {
+      RC_ASSERT(it.is_held("crashing"));
+    }
+  });
+}
+
+TEST_CASE("crash_suspects can count crashes against all requests that were running") {
+  crash_suspects suspects =
+      crash_suspects::create({.crashes_to_hold = 3, .count_shared_crashes = true});
+  for (int n = 0; n < 2; ++n) {
+    suspects.record_crash({}, start + seconds(n), "e", std::to_string(n), names{"x", "y"});
+  }
+  CHECK_FALSE(suspects.is_held("x"));
+
+  SECTION("two that shared all crashes are both held after the third") {
+    suspects.record_crash({}, start + seconds(2), "e", "2", names{"x", "y"});
+    CHECK(suspects.is_held("x"));
+    CHECK(suspects.is_held("y"));
+  }
+  SECTION("one whose records are removed after it has completed starts from zero") {
+    for (const crash_record& it : suspects.records()) {
+      if (it.fingerprint == "y") {
+        suspects.remove(it);
+        suspects.remove(it);
+      }
+    }
+    CHECK_FALSE(suspects.is_suspect("y"));
+    suspects.record_crash({}, start + seconds(2), "e", "2", names{"x", "y"});
+    CHECK(suspects.is_held("x"));
+    CHECK_FALSE(suspects.is_held("y"));
+  }
+}
+
 TEST_CASE("crash_suspects limits the number of its records") {
   suspect_options options;
   options.capacity = 10;
