Tell an instance without links from endpoints that are down

An instance that reaches no endpoint logged single failed attempts, as it does when endpoints are down. All requests to endpoints now go through endpoint_calls: when an endpoint takes no connection, or while requests stay without a response and no endpoint sends anything, it connects to three others. endpoint_reachability decides: three endpoints without a connection, and none that takes one in between, mean that this instance is cut off (endpoints_unreachable, endpoints_reachable). An attempt that was not connected ends when this is decided, within milliseconds unless connections hang. The check of crash_task uses it too: a cut-off instance cannot see that an endpoint crashed.

No decision depends on it yet but that one. dispatch_test and the platform tests pass.

--- a/libs/events/catalogue.h
+++ b/libs/events/catalogue.h
@@ -62,6 +62,8 @@
   endpoint_limit_ended = 1507,
   permits_unanswered = 1508,
   endpoint_crashed = 1509,
+  endpoints_unreachable = 1510,
+  endpoints_reachable = 1511,
 
   step_opened = 1601,
   batch_committed = 1602,
--- a/libs/instance/crash_task.cpp
+++ b/libs/instance/crash_task.cpp
@@ -8,7 +8,6 @@
 #include <fmt/format.h>
 
 #include "base/json.h"
-#include "instance/call_limits.h"
 
 namespace boragedoor::instance {
 
@@ -54,12 +53,12 @@
     record_crash(request, fingerprint, process);
     return;
   }
-  context_.calls.probe(entry->address, connect_timeout,
-                       [this, alive = alive_, request, fingerprint, process](bool connected) {
-                         if (*alive && !connected) {
-                           record_crash(request, fingerprint, process);
-                         }
-                       });
+  context_.outgoing.check(
+      entry->address, [this, alive = alive_, request, fingerprint, process](endpoint_state state) {
+        if (*alive && state == endpoint_state::unconnected) {
+          record_crash(request, fingerprint, process);
+        }
+      });
 }
 
 void crash_task::record_crash(const std::string& request, const std::string& fingerprint,
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -194,24 +194,30 @@
     if (!chosen) {
       return false;
     }
-    const send_context to{
-        .endpoint = chosen->id, .workspace = route_.workspace, .time_left = plan_.deadline() - now};
     auto it = std::make_shared<attempt>(attempt{.endpoint = chosen->id,
                                                 .software = chosen->software,
                                                 .process_start_ms = chosen->process_start_ms,
                                                 .call = {},
                                                 .sent_at = now});
-    http1::call_spec spec;
-    spec.target = chosen->address;
-    spec.message = context_.protocol.forward(exchange_->received(), to);
-    // Endpoints are a few milliseconds away, so one that has not accepted by then is down.
-    spec.connect_timeout = connect_timeout;
-    // Longer than the deadline, so that the deadline timer fires first and sends the caller the
-    // timeout response.
-    spec.progress_timeout = to.time_left + connect_timeout;
-    // A request that is not idempotent must not be sent on a connection that the server may be
-    // closing, because it would be unknown whether it ran.
-    spec.new_connection = route_.matched_route->kind != dispatch::route_kind::idempotent;
+    const bool idempotent = route_.matched_route->kind == dispatch::route_kind::idempotent;
+    endpoint_request request{
+        .endpoint = chosen->address,
+        .attempt = request_.attempt_id,
+        .message =
+            [self = shared_from_this(), id = chosen->id] {
+              return self->context_.protocol.forward(
+                  self->exchange_->received(),
+                  {.endpoint = id,
+                   .workspace = self->route_.workspace,
+                   .time_left = self->plan_.deadline() - self->context_.loop.now()});
+            },
+        .repeatable = idempotent,
+        // Longer than the deadline, so that the deadline timer fires first and sends the caller the
+        // timeout response.
+        .progress_timeout = plan_.deadline() - now + connect_timeout,
+        // A request that is not idempotent must not be sent on a connection that the server may be
+        // closing, because it would be unknown whether it ran.
+        .new_connection = !idempotent};
     plan_.record_sent(chosen->id);
     context_.note_sent(chosen->id, attempts_.empty() ? "request" : "hedge");
     attempts_.push_back(it);
@@ -228,7 +234,7 @@
                                                        http1::response response) {
       self->on_end(it, outcome, std::move(response));
     };
-    it->call = context_.calls.send(std::move(spec), std::move(callbacks));
+    it->call = context_.outgoing.send(std::move(request), std::move(callbacks));
     context_.record(event_number::attempt_started, request_.attempt_id, chosen->id,
                     {{"service", service_},
                      {"software", chosen->software},
--- a/libs/instance/instance_context.h
+++ b/libs/instance/instance_context.h
@@ -11,6 +11,7 @@
 #include "events/event_log.h"
 #include "http1/client.h"
 #include "instance/durable_store.h"
+#include "instance/endpoint_calls.h"
 #include "instance/endpoint_protocol.h"
 #include "metrics/registry.h"
 #include "net/event_loop.h"
@@ -35,6 +36,8 @@
 struct instance_context {
   net::event_loop& loop;
   http1::client& calls;
+  /// Carries requests to endpoints. Orders to them go through `calls`.
+  endpoint_calls& outgoing;
   durable_store& store;
   const endpoint_protocol& protocol;
   events::event_log& log;
--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -201,15 +201,21 @@
   }
   const auto it = std::make_shared<active_call>(
       active_call{.item = n, .endpoint = chosen->id, .call = {}, .reader = {}, .sent_at = now});
-  const auto left = std::chrono::duration_cast<duration>(job.give_up - context_.stable_wall_now());
-  const send_context to{.endpoint = chosen->id,
-                        .workspace = job.workspace,
-                        .time_left = std::clamp<duration>(left, milliseconds(1), run_timeout)};
-  http1::call_spec spec;
-  spec.target = chosen->address;
-  spec.message = context_.protocol.generate(job, item, run_.last_event(n), to);
-  spec.connect_timeout = connect_timeout;
-  spec.progress_timeout = stream_timeout;
+  endpoint_request request{
+      .endpoint = chosen->address,
+      .attempt = item.id,
+      .message =
+          [this, n, id = chosen->id] {
+            const auto left = std::chrono::duration_cast<duration>(run_.contents().give_up -
+                                                                   context_.stable_wall_now());
+            return context_.protocol.generate(
+                run_.contents(), run_.item(n), run_.last_event(n),
+                {.endpoint = id,
+                 .workspace = run_.contents().workspace,
+                 .time_left = std::clamp<duration>(left, milliseconds(1), run_timeout)});
+          },
+      .repeatable = true,
+      .progress_timeout = stream_timeout};
   context_.note_sent(chosen->id, "item");
   run_.started(n, {chosen->id, chosen->software}, now);
   runs_[n] = it;
@@ -222,7 +228,7 @@
   callbacks.on_end = [this, it](http1::call_outcome outcome, const http1::response& response) {
     on_end(it, outcome, response);
   };
-  it->call = context_.calls.send(std::move(spec), std::move(callbacks));
+  it->call = context_.outgoing.send(std::move(request), std::move(callbacks));
   return start_result::started;
 }
 
@@ -441,12 +447,17 @@
   }
   const auto it = std::make_shared<active_call>(
       active_call{.item = n, .endpoint = chosen->id, .call = {}, .reader = {}, .sent_at = now});
-  http1::call_spec spec;
-  spec.target = chosen->address;
-  spec.message = context_.protocol.score(
-      call, {.endpoint = chosen->id, .workspace = {}, .time_left = reward_timeout});
-  spec.connect_timeout = connect_timeout;
-  spec.progress_timeout = reward_timeout;
+  endpoint_request request{.endpoint = chosen->address,
+                           .attempt = call.id,
+                           .message =
+                               [this, n, id = chosen->id] {
+                                 return context_.protocol.score(*run_.item(n).reward,
+                                                                {.endpoint = id,
+                                                                 .workspace = {},
+                                                                 .time_left = reward_timeout});
+                               },
+                           .repeatable = true,
+                           .progress_timeout = reward_timeout};
   context_.note_sent(chosen->id, "reward");
   run_.reward_started(n);
   rewards_[n] = it;
@@ -462,7 +473,7 @@
   callbacks.on_end = [this, it](http1::call_outcome outcome, const http1::response& response) {
     on_reward_end(it, outcome, response);
   };
-  it->call = context_.calls.send(std::move(spec), std::move(callbacks));
+  it->call = context_.outgoing.send(std::move(request), std::move(callbacks));
   return true;
 }
 
--- a/tests/platform/instance_parts.h
+++ b/tests/platform/instance_parts.h
@@ -13,10 +13,12 @@
 /// in data centre "z1".
 struct instance_parts {
   instance_parts(net::event_loop& loop, net::address store, const std::string& name)
-      : calls(loop), store_calls(loop, std::move(store), [](auto, auto, auto) {}),
+      : calls(loop), outgoing(loop, calls),
+        store_calls(loop, std::move(store), [](auto, auto, auto) {}),
         log(events::event_log::create({.instance = name, .boot = "b", .path = ""}).value()),
         context{.loop = loop,
                 .calls = calls,
+                .outgoing = outgoing,
                 .store = store_calls,
                 .protocol = protocol,
                 .log = *log,
@@ -27,6 +29,7 @@
                 .random = random_engine(1)} {}
 
   http1::client calls;
+  instance::endpoint_calls outgoing;
   store_client store_calls;
   replica_protocol protocol;
   metrics::registry metrics;
