--- /dev/null
+++ b/tests/platform/cut_off_test.cpp
@@ -0,0 +1,113 @@
+#include <chrono>
+
+#include "link_stand_in.h"
+#include "platform_fixture.h"
+
+namespace boragedoor::platform {
+
+namespace {
+
+/// Time after the links are cut from which requests must be served again.
+constexpr duration detection_time = seconds(3);
+
+/// Two instances, three replicas of a plain service and an engine. The links of the first instance
+/// to them can be cut.
+struct cut_off_fixture : platform_fixture {
+  cut_off_fixture() {
+    start("second", second);
+    for (int n = 2; n <= 3; ++n) {
+      others.push_back(std::make_unique<replica_stand_in>(
+          *loop, store,
+          replica_stand_in::options{.id = "p-" + std::to_string(n), .service = "plain"}));
+    }
+    start_engine(milliseconds(5), 20);
+    REQUIRE(loop->run_until(
+        [&] {
+          return first->context().endpoints.available_count("plain") == 3 &&
+                 second->context().endpoints.available_count("plain") == 3 &&
+                 first->members().members().all().size() == 2;
+        },
+        wait_limit));
+    std::vector<dispatch::endpoint_entry> entries;
+    first->context().endpoints.for_each(
+        [&](const dispatch::endpoint_entry& it) { entries.push_back(it); });
+    for (dispatch::endpoint_entry& it : entries) {
+      links.push_back(std::make_unique<link_stand_in>(*loop, it.address));
+      it.address = links.back()->address();
+      first->context().endpoints.put(it);
+    }
+  }
+
+  void set_links(link_state state) {
+    for (const auto& it : links) {
+      it->set_state(state);
+    }
+  }
+
+  std::size_t executions() const {
+    std::size_t n = plain->executed_ids.size();
+    for (const auto& it : others) {
+      n += it->executed_ids.size();
+    }
+    return n;
+  }
+
+  std::vector<std::unique_ptr<replica_stand_in>> others;
+  std::vector<std::unique_ptr<link_stand_in>> links;
+};
+
+} // namespace
+
+// Guards against an instance that has lost its links to all endpoints refusing the requests of
+// callers and the items of jobs that other instances could bring to the endpoints.
+TEST_CASE("an instance without links to the endpoints serves its callers through another one") {
+  cut_off_fixture it;
+  CHECK(it.call(*it.first, "POST", "/plans/7", "body").status == 200);
+
+  const auto check_service = [&] {
+    constexpr int requests = 12;
+    const std::size_t before = it.executions();
+    for (int n = 0; n < requests; ++n) {
+      const std::string id = "r" + std::to_string(n);
+      const auto plain = it.call(*it.first, "POST", "/plans/7?x=1", "body", "key-n", id);
+      CHECK(plain.status == 200);
+      CHECK(plain.body == "answer to " + id);
+      CHECK(net::find_header(plain.headers, "Response-Signature") == "sig-" + id);
+    }
+    CHECK(it.executions() - before == requests);
+    const auto stream = it.call(*it.first, "POST", "/chat/1", "prompt");
+    CHECK(stream.status == 200);
+    CHECK(stream.body.find("id: 20\n") != std::string::npos);
+    CHECK(it.call(*it.first, "POST", "/jobs/x", to_text(make_job()), "key-n", "job-1").status ==
+          202);
+    for (const auto& [id, result] : it.read_all(*it.first, "job-1")) {
+      CHECK(result["state"] == "done");
+    }
+  };
+
+  for (const auto state : {link_state::refusing, link_state::resetting, link_state::hanging}) {
+    DYNAMIC_SECTION("with state " << static_cast<int>(state) << " of the links") {
+      it.set_links(state);
+      SECTION("from three seconds after the cut, with requests all the while") {
+        const time_point end = it.loop->now() + detection_time;
+        while (it.loop->now() < end) {
+          it.call(*it.first, "POST", "/plans/7", "body");
+          it.loop->run_until([] { return false; }, milliseconds(300));
+        }
+        check_service();
+        SECTION("and by itself as soon as the links are back") {
+          it.set_links(link_state::open);
+          it.loop->run_until([] { return false; }, seconds(1));
+          it.second.reset();
+          CHECK(it.call(*it.first, "POST", "/plans/7", "body").status == 200);
+        }
+      }
+      SECTION("from the first request on, with none before") {
+        it.loop->run_until([] { return false; }, detection_time);
+        check_service();
+      }
+    }
+  }
+}
+
+} // namespace boragedoor::platform
