Send requests through another instance while this one reaches no endpoint

Callers of an instance without links to the endpoints got 503 or 504, while other instances reached every endpoint; steps of trainers whose runner was cut off failed.

Cause: an instance had its own links only. It took each failure for one of an endpoint and went on to the next one, 300 ms each, until the attempts or the time were used up.

While endpoint_reachability says that this instance is cut off, endpoint_calls sends each request to another instance, which forwards it to the chosen endpoint. All decisions stay here. What waits for a connection, and what may be repeated, is rerouted when the cut is noticed. Ruled out: health marks that outlast the cut are not needed to explain it (the refusals end with the links).

--- a/libs/instance/crash_task.cpp
+++ b/libs/instance/crash_task.cpp
@@ -54,7 +54,8 @@
     return;
   }
   context_.outgoing.check(
-      entry->address, [this, alive = alive_, request, fingerprint, process](endpoint_state state) {
+      process.endpoint, entry->address,
+      [this, alive = alive_, request, fingerprint, process](endpoint_state state) {
         if (*alive && state == endpoint_state::unconnected) {
           record_crash(request, fingerprint, process);
         }
--- a/libs/instance/endpoint_calls.cpp
+++ b/libs/instance/endpoint_calls.cpp
@@ -1,8 +1,11 @@
 #include "instance/endpoint_calls.h"
 
 #include <algorithm>
+#include <array>
+#include <random>
 #include <utility>
 
+#include "base/hash.h"
 #include "instance/call_limits.h"
 
 namespace boragedoor::instance {
@@ -18,6 +21,51 @@
 constexpr duration silence_limit = milliseconds(100);
 constexpr duration min_probe_pause = milliseconds(500);
 
+/// Relays that are tried for one request, and how long one that could not forward is avoided.
+constexpr std::size_t max_relays = 4;
+constexpr duration relay_avoidance = seconds(1);
+/// Longest time without a byte of the response to a forwarded request. The instance that sent it
+/// has its own, shorter limit.
+constexpr duration forward_timeout = seconds(30);
+
+/// Headers between instances. A request names the endpoint and the attempt; `connection_header`
+/// asks for a new connection, and `check_header` only whether the endpoint takes connections.
+constexpr std::string_view endpoint_header = "Boragedoor-Endpoint";
+constexpr std::string_view attempt_header = "Boragedoor-Attempt";
+constexpr std::string_view connection_header = "Boragedoor-Connection";
+constexpr std::string_view check_header = "Boragedoor-Check";
+/// In each response of a relay: "response" if it is that of the endpoint, otherwise why there is
+/// none.
+constexpr std::string_view outcome_header = "Boragedoor-Outcome";
+constexpr std::string_view endpoint_response = "response";
+constexpr std::string_view relay_cut_off = "cut_off";
+
+constexpr std::string_view new_connection = "new";
+
+constexpr int ok = 200;
+constexpr int bad_gateway = 502;
+
+bool is_relay_header(std::string_view name) {
+  constexpr std::array names = {endpoint_header, attempt_header, connection_header, check_header,
+                                outcome_header};
+  return std::any_of(names.begin(), names.end(),
+                     [name](std::string_view it) { return http1::equal_ignoring_case(it, name); });
+}
+
+void remove_relay_headers(net::headers& list) {
+  std::erase_if(list, [](const auto& it) { return is_relay_header(it.first); });
+}
+
+http1::call_outcome outcome_from(std::string_view text) {
+  for (const auto it : {http1::call_outcome::not_connected, http1::call_outcome::timed_out,
+                        http1::call_outcome::malformed}) {
+    if (text == to_string(it)) {
+      return it;
+    }
+  }
+  return http1::call_outcome::broken;
+}
+
 } // namespace
 
 /// A request to an endpoint and the call that carries it.
@@ -27,19 +75,36 @@
   routed_call(endpoint_calls& owner, endpoint_request request, http1::call_callbacks callbacks)
       : owner_(owner), request_(std::move(request)), callbacks_(std::move(callbacks)) {}
 
+  void send() {
+    may_relay_ = true;
+    if (!owner_.is_cut_off() || !send_through_relay()) {
+      send_directly();
+    }
+  }
+
+  /// Sends the request to the endpoint. Uses a relay only after `send`.
   void send_directly() {
     sent_at_ = owner_.loop_.now();
-    http1::call_spec spec;
-    spec.target = request_.endpoint;
-    spec.message = request_.message();
-    spec.connect_timeout = connect_timeout;
-    spec.progress_timeout = request_.progress_timeout;
-    spec.new_connection = request_.new_connection;
+    http1::call_spec spec = make_spec();
+    spec.target = request_.address;
     spec.may_send = [self = shared_from_this()] {
+      self->connected_ = true;
       self->owner_.note_connected();
       return true;
     };
-    http1::call_callbacks callbacks = response_callbacks();
+    connected_ = !request_.new_connection;
+    http1::call_callbacks callbacks;
+    callbacks.on_head = [self = shared_from_this()](const http1::response& head) {
+      self->note_byte();
+      self->owner_.remove(*self);
+      return !self->callbacks_.on_head || self->callbacks_.on_head(head);
+    };
+    if (callbacks_.on_data) {
+      callbacks.on_data = [self = shared_from_this()](std::string_view data) {
+        self->note_byte();
+        self->callbacks_.on_data(data);
+      };
+    }
     callbacks.on_end = [self = shared_from_this()](http1::call_outcome outcome,
                                                    http1::response response) {
       self->on_direct_end(outcome, std::move(response));
@@ -47,6 +112,20 @@
     call_ = owner_.client_.send(std::move(spec), std::move(callbacks));
   }
 
+  /// Sends the request through a relay instead, if the endpoint cannot have received it or may
+  /// receive it again.
+  void reroute() {
+    if (ended_ || !call_ || relay_ || (connected_ && !request_.repeatable)) {
+      return;
+    }
+    const auto direct = std::exchange(call_, nullptr);
+    if (send_through_relay()) {
+      direct->cancel();
+    } else {
+      call_ = direct;
+    }
+  }
+
   void cancel() override {
     if (std::exchange(ended_, true)) {
       return;
@@ -61,20 +140,82 @@
   [[nodiscard]] time_point sent_at() const { return sent_at_; }
 
 private:
-  http1::call_callbacks response_callbacks() {
+  void note_byte() { owner_.last_byte_at_ = owner_.loop_.now(); }
+
+  http1::call_spec make_spec() const {
+    http1::call_spec spec;
+    spec.message = request_.message();
+    spec.connect_timeout = connect_timeout;
+    spec.progress_timeout = request_.progress_timeout;
+    spec.new_connection = request_.new_connection;
+    return spec;
+  }
+
+  /// Returns false if there is no relay left to try.
+  bool send_through_relay() {
+    relay_ = may_relay_ && tried_relays_.size() < max_relays ? owner_.choose_relay(tried_relays_)
+                                                             : std::nullopt;
+    if (!relay_) {
+      return false;
+    }
+    tried_relays_.push_back(*relay_);
+    owner_.remove(*this);
+    owner_.relayed.emit();
+    relay_outcome_.reset();
+    http1::call_spec spec = make_spec();
+    spec.target = *relay_;
+    net::headers& headers = spec.message.headers;
+    headers.emplace_back(endpoint_header, request_.endpoint);
+    headers.emplace_back(attempt_header, request_.attempt);
+    if (request_.new_connection) {
+      headers.emplace_back(connection_header, new_connection);
+    }
     http1::call_callbacks callbacks;
     callbacks.on_head = [self = shared_from_this()](const http1::response& head) {
-      self->owner_.last_byte_at_ = self->owner_.loop_.now();
-      self->owner_.remove(*self);
-      return !self->callbacks_.on_head || self->callbacks_.on_head(head);
+      return self->on_relay_head(head);
     };
     if (callbacks_.on_data) {
       callbacks.on_data = [self = shared_from_this()](std::string_view data) {
-        self->owner_.last_byte_at_ = self->owner_.loop_.now();
-        self->callbacks_.on_data(data);
+        if (self->relay_outcome_ == endpoint_response) {
+          self->callbacks_.on_data(data);
+        }
       };
     }
-    return callbacks;
+    callbacks.on_end = [self = shared_from_this()](http1::call_outcome outcome,
+                                                   http1::response response) {
+      self->on_relay_end(outcome, std::move(response));
+    };
+    call_ = owner_.client_.send(std::move(spec), std::move(callbacks));
+    return true;
+  }
+
+  bool on_relay_head(const http1::response& head) {
+    relay_outcome_ = net::find_header(head.headers, outcome_header);
+    if (relay_outcome_ != endpoint_response || !callbacks_.on_head) {
+      return true;
+    }
+    http1::response endpoint_head = head;
+    remove_relay_headers(endpoint_head.headers);
+    return callbacks_.on_head(endpoint_head);
+  }
+
+  void on_relay_end(http1::call_outcome outcome, http1::response response) {
+    call_.reset();
+    if (relay_outcome_ == endpoint_response) {
+      remove_relay_headers(response.headers);
+      end(outcome, std::move(response));
+      return;
+    }
+    const bool relay_failed =
+        outcome == http1::call_outcome::not_connected || relay_outcome_ == relay_cut_off;
+    if (relay_failed) {
+      owner_.avoided_relays_[*relay_] = owner_.loop_.now() + relay_avoidance;
+      if (!send_through_relay()) {
+        end(http1::call_outcome::not_connected, {});
+      }
+      return;
+    }
+    end(relay_outcome_ ? outcome_from(*relay_outcome_) : outcome, {});
   }
 
   void on_direct_end(http1::call_outcome outcome, http1::response response) {
@@ -83,9 +224,9 @@
       end(outcome, std::move(response));
       return;
     }
-    owner_.note_unconnected(request_.endpoint);
+    owner_.note_unconnected(request_.address);
     owner_.decide([self = shared_from_this()] {
-      if (!self->ended_) {
+      if (!self->ended_ && (!self->owner_.is_cut_off() || !self->send_through_relay())) {
         self->end(http1::call_outcome::not_connected, {});
       }
     });
@@ -103,11 +244,20 @@
   http1::call_callbacks callbacks_;
   std::shared_ptr<http1::call> call_;
   time_point sent_at_{};
+  /// Whether the endpoint may have received the request.
+  bool connected_ = false;
   bool ended_ = false;
+  bool may_relay_ = false;
+  /// The relay in use, those that were tried, and what the relay says about the response.
+  std::optional<net::address> relay_;
+  std::vector<net::address> tried_relays_;
+  std::optional<std::string> relay_outcome_;
 };
 
-endpoint_calls::endpoint_calls(net::event_loop& loop, http1::client& client)
-    : loop_(loop), client_(client), probe_timer_(loop, [this] { start_probes(); }),
+endpoint_calls::endpoint_calls(net::event_loop& loop, http1::client& client,
+                               const endpoint_protocol& protocol)
+    : loop_(loop), client_(client), protocol_(protocol), random_(std::random_device()()),
+      probe_timer_(loop, [this] { start_probes(); }),
       silence_timer_(loop, [this] { check_silent_calls(); }) {}
 
 endpoint_calls::~endpoint_calls() {
@@ -121,7 +271,7 @@
     silence_timer_.start_once(silence_limit);
   }
   waiting_calls_[it.get()] = it;
-  it->send_directly();
+  it->send();
   return it;
 }
 
@@ -129,9 +279,56 @@
   waiting_calls_.erase(&it);
 }
 
-void endpoint_calls::check(const net::address& endpoint, std::function<void(endpoint_state)> done) {
-  client_.probe(endpoint, connect_timeout,
-                [this, alive = alive_, endpoint, done = std::move(done)](bool connected) {
+std::optional<net::address> endpoint_calls::choose_relay(const std::vector<net::address>& tried) {
+  const time_point now = loop_.now();
+  std::vector<const endpoint_relay*> usable;
+  for (const endpoint_relay& it : relays_) {
+    const auto avoided = avoided_relays_.find(it.address);
+    if ((avoided == avoided_relays_.end() || now >= avoided->second) &&
+        std::find(tried.begin(), tried.end(), it.address) == tried.end()) {
+      usable.push_back(&it);
+    }
+  }
+  const auto far = std::partition(usable.begin(), usable.end(),
+                                  [](const endpoint_relay* it) { return it->near; });
+  const auto end = far == usable.begin() ? usable.end() : far;
+  if (usable.empty()) {
+    return std::nullopt;
+  }
+  const auto last = static_cast<std::size_t>(end - usable.begin()) - 1;
+  return usable[std::uniform_int_distribution<std::size_t>(0, last)(random_)]->address;
+}
+
+void endpoint_calls::check(const std::string& endpoint, const net::address& address,
+                           std::function<void(endpoint_state)> done) {
+  const auto relay = is_cut_off() ? choose_relay({}) : std::nullopt;
+  if (!relay) {
+    check_directly(address, std::move(done));
+    return;
+  }
+  http1::call_spec spec;
+  spec.target = *relay;
+  spec.message.headers = {{"Host", net::to_string(*relay)},
+                          {std::string(endpoint_header), endpoint},
+                          {std::string(check_header), "1"}};
+  spec.connect_timeout = connect_timeout;
+  http1::call_callbacks callbacks;
+  callbacks.on_end = [done = std::move(done)](http1::call_outcome outcome,
+                                              const http1::response& response) {
+    const std::string_view found = net::find_header(response.headers, outcome_header);
+    if (outcome != http1::call_outcome::complete || found == relay_cut_off) {
+      done(endpoint_state::unknown);
+    } else {
+      done(found == endpoint_response ? endpoint_state::connected : endpoint_state::unconnected);
+    }
+  };
+  client_.send(std::move(spec), std::move(callbacks));
+}
+
+void endpoint_calls::check_directly(const net::address& address,
+                                    std::function<void(endpoint_state)> done) {
+  client_.probe(address, connect_timeout,
+                [this, alive = alive_, address, done = std::move(done)](bool connected) {
                   if (!*alive) {
                     return;
                   }
@@ -140,13 +337,97 @@
                     done(endpoint_state::connected);
                     return;
                   }
-                  note_unconnected(endpoint);
+                  note_unconnected(address);
                   decide([this, done] {
                     done(is_cut_off() ? endpoint_state::unknown : endpoint_state::unconnected);
                   });
                 });
 }
 
+bool endpoint_calls::answer(const std::shared_ptr<http1::exchange>& from) {
+  const net::headers& headers = from->received().headers;
+  const std::string endpoint(net::find_header(headers, endpoint_header));
+  if (endpoint.empty()) {
+    return false;
+  }
+  const auto respond = [from](int status, std::string_view outcome) {
+    from->respond({status, {{std::string(outcome_header), std::string(outcome)}}, {}});
+  };
+  const auto address = resolve_ ? resolve_(endpoint) : std::nullopt;
+  if (is_cut_off()) {
+    respond(bad_gateway, relay_cut_off);
+  } else if (!address) {
+    respond(bad_gateway, to_string(http1::call_outcome::not_connected));
+  } else if (!net::find_header(headers, check_header).empty()) {
+    check_directly(*address, [respond](endpoint_state state) {
+      switch (state) {
+      case endpoint_state::connected:
+        respond(ok, endpoint_response);
+        return;
+      case endpoint_state::unconnected:
+        respond(bad_gateway, to_string(http1::call_outcome::not_connected));
+        return;
+      case endpoint_state::unknown:
+        respond(bad_gateway, relay_cut_off);
+        return;
+      }
+    });
+  } else {
+    forward(from, *address);
+  }
+  return true;
+}
+
+void endpoint_calls::forward(const std::shared_ptr<http1::exchange>& from,
+                             const net::address& address) {
+  const http1::request& received = from->received();
+  http1::request message{received.method, received.target, {}, received.body};
+  for (const auto& [name, value] : received.headers) {
+    if (!http1::is_hop_by_hop(name) && !is_relay_header(name)) {
+      message.headers.emplace_back(name, value);
+    }
+  }
+  endpoint_request request{
+      .endpoint = std::string(net::find_header(received.headers, endpoint_header)),
+      .address = address,
+      .attempt = std::string(net::find_header(received.headers, attempt_header)),
+      .message = [message = std::move(message)] { return message; },
+      .progress_timeout = forward_timeout,
+      .new_connection = net::find_header(received.headers, connection_header) == new_connection};
+  const auto started = std::make_shared<bool>(false);
+  http1::call_callbacks callbacks;
+  callbacks.on_head = [this, from, started,
+                       attempt = request.attempt](const http1::response& head) {
+    const endpoint_reply reply = protocol_.read(head);
+    if (!reply.attempt.empty() && reply.attempt != attempt) {
+      return false;
+    }
+    *started = true;
+    net::headers headers = protocol_.forwarded_headers(head);
+    remove_relay_headers(headers);
+    headers.emplace_back(outcome_header, endpoint_response);
+    from->start({head.status, std::move(headers), {}});
+    return true;
+  };
+  callbacks.on_data = [from](std::string_view data) { from->send_chunk(data); };
+  callbacks.on_end = [this, from, started](http1::call_outcome outcome, const http1::response&) {
+    if (!*started) {
+      const bool cut_off = outcome == http1::call_outcome::not_connected && is_cut_off();
+      from->respond({bad_gateway,
+                     {{std::string(outcome_header),
+                       std::string(cut_off ? relay_cut_off : to_string(outcome))}},
+                     {}});
+    } else if (outcome == http1::call_outcome::complete) {
+      from->finish();
+    } else {
+      from->abort();
+    }
+  };
+  const auto call = std::make_shared<routed_call>(*this, std::move(request), std::move(callbacks));
+  call->send_directly();
+  from->on_left([call] { call->cancel(); });
+}
+
 void endpoint_calls::note_connected() {
   if (reachability_.note_connected()) {
     probe_timer_.cancel();
@@ -160,6 +441,19 @@
     probe_timer_.start_periodic(probe_interval);
     cut_off_changed.emit(true);
     end_decision();
+    reroute_calls();
+  }
+}
+
+void endpoint_calls::reroute_calls() {
+  std::vector<std::shared_ptr<routed_call>> calls;
+  for (const auto& [key, it] : waiting_calls_) {
+    if (auto call = it.lock()) {
+      calls.push_back(std::move(call));
+    }
+  }
+  for (const auto& it : calls) {
+    it->reroute();
   }
 }
 
--- a/libs/instance/endpoint_calls.h
+++ b/libs/instance/endpoint_calls.h
@@ -5,21 +5,25 @@
 #include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include <sigc++/signal.h>
 
+#include "base/random.h"
 #include "dispatch/endpoint_reachability.h"
 #include "http1/client.h"
 #include "http1/exchange.h"
+#include "instance/endpoint_protocol.h"
 #include "net/event_loop.h"
 
 namespace boragedoor::instance {
 
 /// A request to an endpoint.
 struct endpoint_request {
-  net::address endpoint;
+  std::string endpoint;
+  net::address address;
   /// Id that the response echoes.
   std::string attempt;
   /// Makes the message. Called each time it is sent, because it states how much time is left.
@@ -34,19 +38,34 @@
 /// Whether an endpoint takes connections.
 enum class endpoint_state { connected, unconnected, unknown };
 
+/// Another instance that can forward requests to endpoints.
+struct endpoint_relay {
+  net::address address;
+  /// Relays in the own data centre are tried first.
+  bool near = false;
+};
+
 /// Addresses of some endpoints, and the number of all endpoints.
 struct endpoint_sample {
   std::vector<net::address> addresses;
   std::size_t known = 0;
 };
 
-/// Sends requests to endpoints and finds out whether this instance is cut off from them.
+/// Sends requests to endpoints: directly, or through another instance while this one is cut off
+/// from them.
+///
+/// Design note: the other instance only forwards. Which endpoint gets the request, how often it is
+/// tried and what its response means is decided here, so limits, counts and records stay the same.
+/// Forwarded requests are not forwarded again.
 class endpoint_calls {
 public:
   /// Returns up to `count` endpoints, chosen at random.
   using sampler = std::function<endpoint_sample(std::size_t count)>;
+  /// Returns the address of an endpoint; nothing if this instance does not know it or must not send
+  /// to it.
+  using resolver = std::function<std::optional<net::address>(const std::string& endpoint)>;
 
-  endpoint_calls(net::event_loop& loop, http1::client& client);
+  endpoint_calls(net::event_loop& loop, http1::client& client, const endpoint_protocol& protocol);
   ~endpoint_calls();
   endpoint_calls(const endpoint_calls&) = delete;
   endpoint_calls& operator=(const endpoint_calls&) = delete;
@@ -56,20 +75,37 @@
   /// Sets how endpoints are chosen to find out whether any takes connections.
   void set_sampler(sampler sample) { sample_ = std::move(sample); }
 
+  /// Sets how the endpoints of other instances' requests are found.
+  void set_resolver(resolver resolve) { resolve_ = std::move(resolve); }
+  void set_relays(std::vector<endpoint_relay> relays) { relays_ = std::move(relays); }
+
   /// Sends a request. The callbacks are those of `http1::client::send`. If the endpoint takes no
   /// connection, `on_end` waits until it is known whether others do.
   std::shared_ptr<http1::call> send(endpoint_request request, http1::call_callbacks callbacks);
 
   /// Finds out whether an endpoint takes connections.
-  void check(const net::address& endpoint, std::function<void(endpoint_state)> done);
+  void check(const std::string& endpoint, const net::address& address,
+             std::function<void(endpoint_state)> done);
+
+  /// Forwards a request of another instance. Returns false if it is not a request to an endpoint.
+  bool answer(const std::shared_ptr<http1::exchange>& from);
 
   [[nodiscard]] bool is_cut_off() const { return reachability_.is_cut_off(); }
   /// Emitted when this instance is cut off from all endpoints, and when it no longer is.
   sigc::signal<void(bool cut_off)> cut_off_changed;
+  /// Emitted for each request that is sent through another instance.
+  sigc::signal<void()> relayed;
 
 private:
   class routed_call;
 
+  /// Sends a request of another instance to an endpoint and its response back.
+  void forward(const std::shared_ptr<http1::exchange>& from, const net::address& address);
+  /// Chooses a relay other than `tried`; nothing if there is none.
+  [[nodiscard]] std::optional<net::address> choose_relay(const std::vector<net::address>& tried);
+  /// Sends calls on through relays that wait for a link that this instance does not have.
+  void reroute_calls();
+  void check_directly(const net::address& address, std::function<void(endpoint_state)> done);
   void note_connected();
   void note_unconnected(const net::address& endpoint);
   /// Calls `fn` when it is known whether this instance is cut off, after an endpoint took no
@@ -84,7 +120,13 @@
 
   net::event_loop& loop_;
   http1::client& client_;
+  const endpoint_protocol& protocol_;
   sampler sample_;
+  resolver resolve_;
+  std::vector<endpoint_relay> relays_;
+  /// Relays that could not forward lately, with the time until which others are chosen.
+  std::map<net::address, time_point> avoided_relays_;
+  random_engine random_;
   dispatch::endpoint_reachability reachability_;
   /// Number of endpoints; the maximum until it is known.
   std::size_t known_endpoints_ = std::numeric_limits<std::size_t>::max();
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -201,15 +201,19 @@
                                                 .sent_at = now});
     const bool idempotent = route_.matched_route->kind == dispatch::route_kind::idempotent;
     endpoint_request request{
-        .endpoint = chosen->address,
+        .endpoint = chosen->id,
+        .address = chosen->address,
         .attempt = request_.attempt_id,
         .message =
-            [self = shared_from_this(), id = chosen->id] {
-              return self->context_.protocol.forward(
-                  self->exchange_->received(),
-                  {.endpoint = id,
-                   .workspace = self->route_.workspace,
-                   .time_left = self->plan_.deadline() - self->context_.loop.now()});
+            [weak = weak_from_this(), id = chosen->id] {
+              const auto self = weak.lock();
+              return self == nullptr
+                         ? http1::request()
+                         : self->context_.protocol.forward(
+                               self->exchange_->received(),
+                               {.endpoint = id,
+                                .workspace = self->route_.workspace,
+                                .time_left = self->plan_.deadline() - self->context_.loop.now()});
             },
         .repeatable = idempotent,
         // Longer than the deadline, so that the deadline timer fires first and sends the caller the
--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -202,7 +202,8 @@
   const auto it = std::make_shared<active_call>(
       active_call{.item = n, .endpoint = chosen->id, .call = {}, .reader = {}, .sent_at = now});
   endpoint_request request{
-      .endpoint = chosen->address,
+      .endpoint = chosen->id,
+      .address = chosen->address,
       .attempt = item.id,
       .message =
           [this, n, id = chosen->id] {
@@ -447,7 +448,8 @@
   }
   const auto it = std::make_shared<active_call>(
       active_call{.item = n, .endpoint = chosen->id, .call = {}, .reader = {}, .sent_at = now});
-  endpoint_request request{.endpoint = chosen->address,
+  endpoint_request request{.endpoint = chosen->id,
+                           .address = chosen->address,
                            .attempt = call.id,
                            .message =
                                [this, n, id = chosen->id] {
--- a/libs/instance/member_task.cpp
+++ b/libs/instance/member_task.cpp
@@ -84,6 +84,17 @@
   return lease_.is_valid(now);
 }
 
+std::vector<endpoint_relay> member_task::endpoint_relays() const {
+  std::vector<endpoint_relay> list;
+  for (const duties::member& it : members_.all()) {
+    const net::address address = net::parse_address(it.relay);
+    if (address.port != 0 && !it.draining && it.instance != context_.identity.name) {
+      list.push_back({address, it.data_centre == context_.identity.data_centre});
+    }
+  }
+  return list;
+}
+
 std::vector<net::address> member_task::relays() const {
   std::vector<net::address> list;
   for (const duties::member& it : members_.all()) {
--- a/libs/instance/relay_listener.cpp
+++ b/libs/instance/relay_listener.cpp
@@ -13,6 +13,9 @@
 constexpr duration progress_timeout = seconds(5);
 /// Store values have up to one megabyte; their encoding adds a third.
 constexpr std::size_t max_body_bytes = 4UL * 1024 * 1024;
+/// Callers' requests to endpoints have up to the limit of the configuration, and a few more
+/// headers.
+constexpr std::size_t max_header_bytes = 128UL * 1024;
 
 constexpr int service_unavailable = 503;
 constexpr int gateway_timeout = 504;
@@ -41,7 +44,7 @@
     return server.error();
   }
   it->server_ = std::move(server).value();
-  it->server_->set_limits({.body_bytes = max_body_bytes});
+  it->server_->set_limits({.header_bytes = max_header_bytes, .body_bytes = max_body_bytes});
   return it;
 }
 
