Send nothing more to endpoints that say in a response that they leave

Endpoints that leave now say so in each response (success, refusal, error or head of a stream). This was read nowhere: requests went on until the registry said draining, and some endpoints never report it.

service_endpoints keeps the processes that said it, by id and start time, beside the registry's entries: requests stop at once, also when the entry is written again as ready or comes back after it lapsed; the next process under the id gets requests. Late responses of a former process and those of another process at the address are ignored. Forwarding instances learn it as well.

--- a/libs/dispatch/service_endpoints.cpp
+++ b/libs/dispatch/service_endpoints.cpp
@@ -42,6 +42,9 @@
 /// Older load reports are ignored; only the own open requests count then.
 constexpr duration max_report_age = milliseconds(700);
 
+/// Number of leaving processes from which those without an entry are forgotten.
+constexpr std::size_t max_leaving_processes = 4096;
+
 bool holds_weights(const endpoint_entry& entry, const endpoint_requirements& requirements) {
   if (requirements.model.empty()) {
     return true;
@@ -146,6 +149,9 @@
   }
   health_.add(id, entry.description.data_centre, entry.description.pool);
   it.entry = entry;
+  if (is_leaving(entry)) {
+    it.entry.description.state = routing::endpoint_state::draining;
+  }
   it.rank = hash64(id, seed_);
   add_to_service(it);
 }
@@ -468,6 +474,26 @@
   return it == nullptr || !it->limit ? std::nullopt : std::optional(it->limit->per_second());
 }
 
+bool service_endpoints::is_leaving(const endpoint_entry& entry) const {
+  const auto found = leaving_.find(entry.description.id);
+  return found != leaving_.end() && found->second == entry.process_start_ms;
+}
+
+bool service_endpoints::note_leaving(const endpoint_process& process) {
+  tracked_endpoint* it = find_tracked(process.endpoint);
+  // A late response says nothing about a process that has taken over the id.
+  if (it == nullptr || it->entry.process_start_ms != process.start_ms || is_leaving(it->entry)) {
+    return false;
+  }
+  if (leaving_.size() >= max_leaving_processes) {
+    std::erase_if(leaving_, [this](const auto& one) { return find_tracked(one.first) == nullptr; });
+  }
+  leaving_[process.endpoint] = process.start_ms;
+  it->entry.description.state = routing::endpoint_state::draining;
+  update_available(*it);
+  return true;
+}
+
 void service_endpoints::note_misdirected(std::string_view id) {
   if (tracked_endpoint* it = find_tracked(id)) {
     it->entry.description.state = routing::endpoint_state::draining;
--- a/libs/dispatch/service_endpoints.h
+++ b/libs/dispatch/service_endpoints.h
@@ -37,6 +37,13 @@
   std::int64_t process_start_ms = 0;
 };
 
+/// A process of an endpoint.
+struct endpoint_process {
+  std::string endpoint;
+  /// See `endpoint_entry::process_start_ms`.
+  std::int64_t start_ms = 0;
+};
+
 /// What a request requires of an endpoint, and which endpoints it prefers.
 struct endpoint_requirements {
   std::string_view service{};
@@ -67,6 +74,8 @@
   std::string software;
   /// See `endpoint_entry::process_start_ms`.
   std::int64_t process_start_ms = 0;
+
+  [[nodiscard]] endpoint_process process() const { return {id, process_start_ms}; }
 };
 
 /// Tracks the load and health of all services' endpoints and selects one for each request.
@@ -138,6 +147,9 @@
                           time_point now);
   /// Returns the requests a second that an endpoint states to take, if it states a limit.
   [[nodiscard]] std::optional<double> request_limit(std::string_view id) const;
+  /// Records that a process of an endpoint states that it leaves. It gets no further requests, also
+  /// after its entry has changed or was gone. Returns whether this is new.
+  bool note_leaving(const endpoint_process& process);
   /// Records that another process answers at the endpoint's address. The endpoint gets no requests
   /// until its entry changes.
   void note_misdirected(std::string_view id);
@@ -189,6 +201,8 @@
 
   tracked_endpoint* find_tracked(std::string_view id);
   [[nodiscard]] const tracked_endpoint* find_tracked(std::string_view id) const;
+  /// Whether the process of an entry states that it leaves.
+  [[nodiscard]] bool is_leaving(const endpoint_entry& entry) const;
   void add_to_service(tracked_endpoint& it);
   void remove_from_service(tracked_endpoint& it);
   void update_available(tracked_endpoint& it);
@@ -217,6 +231,8 @@
   double shortest_interval_ = 0;
   routing::endpoint_health health_;
   time_point health_updated_at_{};
+  /// Processes that state that they leave, by endpoint id.
+  std::map<std::string, std::int64_t, std::less<>> leaving_;
   std::size_t limited_count_ = 0;
   /// Ids of the endpoints for which permits are wanted and not yet requested.
   std::vector<std::string> wanted_permits_;
--- a/libs/instance/crash_task.h
+++ b/libs/instance/crash_task.h
@@ -15,13 +15,6 @@
 
 namespace boragedoor::instance {
 
-/// A process of an endpoint.
-struct endpoint_process {
-  std::string endpoint;
-  /// See `dispatch::endpoint_entry::process_start_ms`.
-  std::int64_t start_ms = 0;
-};
-
 /// Prefix of the crash records in the store.
 inline constexpr std::string_view crash_prefix = "boragedoor/crashes/";
 
@@ -43,7 +36,7 @@
   /// Checks whether an endpoint still takes connections, after a request that had been sent to it
   /// got no complete response. `fingerprint` is that of the request.
   void check(const std::string& request, const std::string& fingerprint,
-             const endpoint_process& process);
+             const dispatch::endpoint_process& process);
 
   /// Records that an endpoint completed a response to the request, so that it does not crash
   /// endpoints.
@@ -65,7 +58,7 @@
   using record_list = std::vector<requests::crash_record>;
 
   void record_crash(const std::string& request, const std::string& fingerprint,
-                    const endpoint_process& process);
+                    const dispatch::endpoint_process& process);
   void on_put(const stored_item& it);
   void on_removed(const std::string& key);
   void store_records();
--- a/libs/instance/endpoint_calls.cpp
+++ b/libs/instance/endpoint_calls.cpp
@@ -353,13 +353,13 @@
   const auto respond = [from](int status, std::string_view outcome) {
     from->respond({status, {{std::string(outcome_header), std::string(outcome)}}, {}});
   };
-  const auto address = resolve_ ? resolve_(endpoint) : std::nullopt;
+  const auto to = resolve_ ? resolve_(endpoint) : std::nullopt;
   if (is_cut_off()) {
     respond(bad_gateway, relay_cut_off);
-  } else if (!address) {
+  } else if (!to) {
     respond(bad_gateway, to_string(http1::call_outcome::not_connected));
   } else if (!net::find_header(headers, check_header).empty()) {
-    check_directly(*address, [respond](endpoint_state state) {
+    check_directly(to->address, [respond](endpoint_state state) {
       switch (state) {
       case endpoint_state::connected:
         respond(ok, endpoint_response);
@@ -373,13 +373,13 @@
       }
     });
   } else {
-    forward(from, *address);
+    forward(from, *to);
   }
   return true;
 }
 
 void endpoint_calls::forward(const std::shared_ptr<http1::exchange>& from,
-                             const net::address& address) {
+                             const forward_target& to) {
   const http1::request& received = from->received();
   http1::request message{received.method, received.target, {}, received.body};
   for (const auto& [name, value] : received.headers) {
@@ -389,19 +389,20 @@
   }
   endpoint_request request{
       .endpoint = std::string(net::find_header(received.headers, endpoint_header)),
-      .address = address,
+      .address = to.address,
       .attempt = std::string(net::find_header(received.headers, attempt_header)),
       .message = [message = std::move(message)] { return message; },
       .progress_timeout = forward_timeout,
       .new_connection = net::find_header(received.headers, connection_header) == new_connection};
   const auto started = std::make_shared<bool>(false);
   http1::call_callbacks callbacks;
-  callbacks.on_head = [this, from, started,
+  callbacks.on_head = [this, from, started, process = to.process,
                        attempt = request.attempt](const http1::response& head) {
     const endpoint_reply reply = protocol_.read(head);
     if (!reply.attempt.empty() && reply.attempt != attempt) {
       return false;
     }
+    forwarded.emit(process, reply);
     *started = true;
     net::headers headers = protocol_.forwarded_headers(head);
     remove_relay_headers(headers);
--- a/libs/instance/endpoint_calls.h
+++ b/libs/instance/endpoint_calls.h
@@ -13,6 +13,7 @@
 
 #include "base/random.h"
 #include "dispatch/endpoint_reachability.h"
+#include "dispatch/service_endpoints.h"
 #include "http1/client.h"
 #include "http1/exchange.h"
 #include "instance/endpoint_protocol.h"
@@ -45,6 +46,12 @@
   bool near = false;
 };
 
+/// The process of an endpoint to which a request of another instance is forwarded.
+struct forward_target {
+  net::address address;
+  dispatch::endpoint_process process;
+};
+
 /// Addresses of some endpoints, and the number of all endpoints.
 struct endpoint_sample {
   std::vector<net::address> addresses;
@@ -61,9 +68,9 @@
 public:
   /// Returns up to `count` endpoints, chosen at random.
   using sampler = std::function<endpoint_sample(std::size_t count)>;
-  /// Returns the address of an endpoint; nothing if this instance does not know it or must not send
-  /// to it.
-  using resolver = std::function<std::optional<net::address>(const std::string& endpoint)>;
+  /// Returns the process of an endpoint; nothing if this instance does not know the endpoint or
+  /// must not send to it.
+  using resolver = std::function<std::optional<forward_target>(const std::string& endpoint)>;
 
   endpoint_calls(net::event_loop& loop, http1::client& client, const endpoint_protocol& protocol);
   ~endpoint_calls();
@@ -93,6 +100,9 @@
   [[nodiscard]] bool is_cut_off() const { return reachability_.is_cut_off(); }
   /// Emitted when this instance is cut off from all endpoints, and when it no longer is.
   sigc::signal<void(bool cut_off)> cut_off_changed;
+  /// Emitted with the head of each response that this instance forwards to another one.
+  sigc::signal<void(const dispatch::endpoint_process& process, const endpoint_reply& reply)>
+      forwarded;
   /// Emitted for each request that is sent through another instance.
   sigc::signal<void()> relayed;
 
@@ -100,7 +110,7 @@
   class routed_call;
 
   /// Sends a request of another instance to an endpoint and its response back.
-  void forward(const std::shared_ptr<http1::exchange>& from, const net::address& address);
+  void forward(const std::shared_ptr<http1::exchange>& from, const forward_target& to);
   /// Chooses a relay other than `tried`; nothing if there is none.
   [[nodiscard]] std::optional<net::address> choose_relay(const std::vector<net::address>& tried);
   /// Sends calls on through relays that wait for a link that this instance does not have.
--- a/libs/instance/endpoint_protocol.h
+++ b/libs/instance/endpoint_protocol.h
@@ -31,6 +31,8 @@
   bool misdirected = false;
   /// Signature that shows that the endpoint itself made the response and that it is complete.
   std::string signature;
+  /// The endpoint states that it leaves and takes no further requests.
+  bool leaving = false;
   /// Numbers of running and waiting requests, if the endpoint reports them.
   std::optional<int> running;
   std::optional<int> waiting;
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -134,8 +134,7 @@
   struct attempt {
     std::string endpoint;
     std::string software;
-    /// Start of the endpoint's process, see `endpoint_entry::process_start_ms`.
-    std::int64_t process_start_ms = 0;
+    dispatch::endpoint_process process{};
     std::shared_ptr<http1::call> call;
     time_point sent_at;
     bool execution_started = false;
@@ -196,7 +195,7 @@
     }
     auto it = std::make_shared<attempt>(attempt{.endpoint = chosen->id,
                                                 .software = chosen->software,
-                                                .process_start_ms = chosen->process_start_ms,
+                                                .process = chosen->process(),
                                                 .call = {},
                                                 .sent_at = now});
     const bool idempotent = route_.matched_route->kind == dispatch::route_kind::idempotent;
@@ -259,7 +258,7 @@
                       {{"reason", "late_response"}, {"answers", reply.attempt}});
       return false;
     }
-    context_.note_reply(it.endpoint, reply, it.sent_at);
+    context_.note_reply(it.process, reply, it.sent_at);
     note_execution_started(it, reply);
     if (route_.matched_route->kind == dispatch::route_kind::stream && is_success(head.status) &&
         !reply.signature.empty()) {
@@ -367,7 +366,7 @@
   /// Finds out whether the endpoint crashed, after a request that had been sent got no complete
   /// response.
   void check_for_crash(const attempt& it) {
-    owner_.crashes_.check(request_.attempt_id, fingerprint_, {it.endpoint, it.process_start_ms});
+    owner_.crashes_.check(request_.attempt_id, fingerprint_, it.process);
   }
 
   void end_stream(const attempt& it, http1::call_outcome outcome) {
--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -199,8 +199,12 @@
   if (!chosen) {
     return start_result::no_endpoint;
   }
-  const auto it = std::make_shared<active_call>(
-      active_call{.item = n, .endpoint = chosen->id, .call = {}, .reader = {}, .sent_at = now});
+  const auto it = std::make_shared<active_call>(active_call{.item = n,
+                                                            .endpoint = chosen->id,
+                                                            .process = chosen->process(),
+                                                            .call = {},
+                                                            .reader = {},
+                                                            .sent_at = now});
   endpoint_request request{
       .endpoint = chosen->id,
       .address = chosen->address,
@@ -238,7 +242,7 @@
   if (!reply.attempt.empty() && reply.attempt != run_.item(it.item).id) {
     return false;
   }
-  context_.note_reply(it.endpoint, reply, it.sent_at);
+  context_.note_reply(it.process, reply, it.sent_at);
   constexpr int ok = 200;
   if (head.status != ok || reply.not_run || reply.signature.empty()) {
     return true;
@@ -446,8 +450,12 @@
   if (!chosen) {
     return false;
   }
-  const auto it = std::make_shared<active_call>(
-      active_call{.item = n, .endpoint = chosen->id, .call = {}, .reader = {}, .sent_at = now});
+  const auto it = std::make_shared<active_call>(active_call{.item = n,
+                                                            .endpoint = chosen->id,
+                                                            .process = chosen->process(),
+                                                            .call = {},
+                                                            .reader = {},
+                                                            .sent_at = now});
   endpoint_request request{.endpoint = chosen->id,
                            .address = chosen->address,
                            .attempt = call.id,
@@ -469,7 +477,7 @@
     if (!reply.attempt.empty() && reply.attempt != id) {
       return false;
     }
-    context_.note_reply(it->endpoint, reply, it->sent_at);
+    context_.note_reply(it->process, reply, it->sent_at);
     return true;
   };
   callbacks.on_end = [this, it](http1::call_outcome outcome, const http1::response& response) {
--- a/libs/instance/job_runner.h
+++ b/libs/instance/job_runner.h
@@ -48,6 +48,7 @@
   struct active_call {
     std::size_t item = 0;
     std::string endpoint;
+    dispatch::endpoint_process process{};
     std::shared_ptr<http1::call> call;
     jobs::event_reader reader;
     bool accepted = false;
--- a/libs/instance/weight_task.cpp
+++ b/libs/instance/weight_task.cpp
@@ -64,8 +64,10 @@
   spec.connect_timeout = connect_timeout;
   spec.progress_timeout = call_timeout;
   http1::call_callbacks callbacks;
-  callbacks.on_end = [this, order, order_sent, deadline](http1::call_outcome outcome,
-                                                         const http1::response& it) {
+  callbacks.on_end = [this, order, order_sent, deadline,
+                      process = dispatch::endpoint_process{order.engine, entry->process_start_ms}](
+                         http1::call_outcome outcome, const http1::response& it) {
+    context_.note_departure(process, context_.protocol.read(it));
     const auto report =
         outcome == http1::call_outcome::complete ? context_.protocol.read_report(it) : std::nullopt;
     if (report) {
--- a/tests/platform/replica_stand_in.cpp
+++ b/tests/platform/replica_stand_in.cpp
@@ -39,6 +39,13 @@
   restart_timer_.start_once(restart_delay);
 }
 
+void replica_stand_in::restart_with_same_id() {
+  crash();
+  ++restarts_;
+  listen(address_);
+  announce();
+}
+
 void replica_stand_in::restart() {
   store_.erase("servers/" + options_.id);
   options_.id += "." + std::to_string(++restarts_);
@@ -98,12 +105,13 @@
     return;
   }
   last = request;
+  ++received;
   if (silent) {
     unanswered_.push_back(exchange);
     return;
   }
   if (full) {
-    exchange->respond({503, {{"Not-Executed", "1"}}, {}});
+    exchange->respond({503, with_state({{"Not-Executed", "1"}}), {}});
     return;
   }
   const std::string id(net::find_header(request.headers, "Attempt-Id"));
@@ -124,7 +132,14 @@
   if (!omit_signature) {
     headers.emplace_back("Response-Signature", "sig-" + id);
   }
-  exchange->respond({200, headers, "answer to " + id});
+  exchange->respond({200, with_state(headers), "answer to " + id});
+}
+
+net::headers replica_stand_in::with_state(net::headers list) const {
+  if (leaving) {
+    list.emplace_back("Server-Leaving", "1");
+  }
+  return list;
 }
 
 void replica_stand_in::start_stream(const std::shared_ptr<http1::exchange>& exchange) {
@@ -137,7 +152,7 @@
   if (!limit.empty()) {
     headers.emplace_back("Server-Limit", limit);
   }
-  exchange->start({200, headers, {}});
+  exchange->start({200, with_state(headers), {}});
   const auto after = http1::integer_header(request_headers, "Last-Event-Id").value_or(0);
   if (after > 0) {
     continued_ids.push_back(id);
--- a/tests/platform/replica_stand_in.h
+++ b/tests/platform/replica_stand_in.h
@@ -45,6 +45,8 @@
   void crash();
   /// Crashes and, a moment later, starts a new process with another id at the same address.
   void crash_and_restart();
+  /// Starts a new process with the same id at the same address.
+  void restart_with_same_id();
 
   /// Attempt ids of the executed requests, in order.
   std::vector<std::string> executed_ids;
@@ -56,6 +58,10 @@
   std::string limit;
   /// Answers every request with 503 and `Not-Executed`.
   bool full = false;
+  /// States in each response that the replica leaves.
+  bool leaving = false;
+  /// Number of requests, executed or not.
+  std::size_t received = 0;
   /// Leaves requests without a response.
   bool silent = false;
   /// Crashes when it begins to execute a request with this target, and starts again a moment later.
@@ -75,6 +81,8 @@
   void on_call(const std::shared_ptr<http1::exchange>& exchange);
   void start_stream(const std::shared_ptr<http1::exchange>& exchange);
   void on_order(const std::shared_ptr<http1::exchange>& exchange);
+  /// Adds the headers about the replica's state.
+  [[nodiscard]] net::headers with_state(net::headers list) const;
   void tick();
   void listen(const net::address& at);
   void restart();
