Hand the duties over when their holder reaches no endpoint

Its reports also went past endpoint_calls, so a holder without callers never noticed the cut.

Reports go through endpoint_calls now.

The fixture of the platform tests tries another free address if the first one has been taken: one run of platform_cut_off_test failed on that.

--- a/libs/duties/member_lease.cpp
+++ b/libs/duties/member_lease.cpp
@@ -70,6 +70,12 @@
   next_call_ = now;
 }
 
+std::uint64_t member_lease::restart(time_point now) {
+  entered_ = false;
+  next_call_ = now;
+  return std::exchange(lease_, 0);
+}
+
 std::uint64_t member_lease::leave() {
   left_ = true;
   entered_ = false;
--- a/libs/duties/member_lease.h
+++ b/libs/duties/member_lease.h
@@ -48,6 +48,9 @@
   bool drop_expired(time_point now);
   /// Makes `next_step` write the entry again.
   void write_entry_again(time_point now);
+  /// Makes `next_step` request a new lease, so that the member becomes the youngest. Returns the
+  /// lease to end, or 0.
+  std::uint64_t restart(time_point now);
   /// Stops all steps. Returns the lease to end, or 0.
   std::uint64_t leave();
 
--- a/libs/http1/client.h
+++ b/libs/http1/client.h
@@ -29,8 +29,8 @@
   /// Starts a call. Callbacks come from the loop, never before `send` returns.
   std::shared_ptr<call> send(call_spec spec, call_callbacks callbacks);
 
-  /// Opens a connection to a target and closes it without a request. Passes to `done` whether it was
-  /// established within `timeout`.
+  /// Opens a connection to a target and closes it without a request. Passes to `done` whether it
+  /// was established within `timeout`.
   void probe(const net::address& target, duration timeout,
              std::function<void(bool connected)> done);
 
--- a/libs/instance/instance_context.h
+++ b/libs/instance/instance_context.h
@@ -36,7 +36,8 @@
 struct instance_context {
   net::event_loop& loop;
   http1::client& calls;
-  /// Carries requests to endpoints. Orders to them go through `calls`.
+  /// Carries requests to endpoints. Orders to them go through `calls`, because a receiver takes one
+  /// from another instance for that of another holder.
   endpoint_calls& outgoing;
   durable_store& store;
   const endpoint_protocol& protocol;
--- a/libs/instance/member_task.cpp
+++ b/libs/instance/member_task.cpp
@@ -17,6 +17,9 @@
 constexpr duration joint_start_time = milliseconds(600);
 /// A member that started this much earlier did not start together with this process.
 constexpr duration min_age_difference = seconds(2);
+/// A member that is cut off from the endpoints for this long hands the duties over. Shorter cuts do
+/// less harm than the time without a holder.
+constexpr duration yield_delay = milliseconds(500);
 constexpr duration watch_wait = seconds(10);
 constexpr duration initial_watch_pause = milliseconds(200);
 
@@ -164,11 +167,33 @@
   }
 }
 
+void member_task::set_cut_off(bool cut_off) {
+  cut_off_since_ = cut_off ? std::optional(context_.loop.now()) : std::nullopt;
+  has_yielded_ = false;
+}
+
+void member_task::yield_duties() {
+  const time_point now = context_.loop.now();
+  has_yielded_ = true;
+  claim_.release(now);
+  context_.record(events::event_number::lease_released, {}, {},
+                  {{"duty", "all"}, {"reason", "cut_off"}});
+  // The next member may claim the duties as soon as the entry is gone, as after a lost lease. A
+  // flag in the entry would not do: a write of it that takes effect late could name a holder that
+  // has claimed the duties again.
+  if (const std::uint64_t lease = lease_.restart(now); lease != 0) {
+    context_.store.end_lease(lease);
+  }
+}
+
 void member_task::tick() {
   const time_point now = context_.loop.now();
   if (lease_.has_left()) {
     return;
   }
+  if (cut_off_since_ && now - *cut_off_since_ >= yield_delay && !has_yielded_ && claim_.holds()) {
+    yield_duties();
+  }
   if (lease_.drop_expired(now)) {
     release_duties("expired");
   }
--- a/libs/instance/member_task.h
+++ b/libs/instance/member_task.h
@@ -55,6 +55,9 @@
   /// This process as the holder of the duties if it holds them at `now`; nullopt otherwise.
   [[nodiscard]] std::optional<duty_holder> permit(time_point now) const;
 
+  /// Reports whether this process is cut off from the endpoints. If it stays so while it holds the
+  /// duties, it hands them to the next member, which may order the endpoints.
+  void set_cut_off(bool cut_off);
   /// Reports that a receiver has seen a higher token. This process gives up the duties until it has
   /// claimed them again.
   void reject_token(std::uint64_t token);
@@ -72,6 +75,8 @@
   void record_claim();
   /// Gives up the duties and records it, if this process holds them.
   void release_duties(std::string_view reason);
+  /// Gives up the duties and becomes the youngest member.
+  void yield_duties();
   [[nodiscard]] std::string key() const;
 
   instance_context& context_;
@@ -85,6 +90,10 @@
   time_point watching_since_{};
   std::int64_t started_ms_ = 0;
   bool draining_ = false;
+  /// Since when this process is cut off from the endpoints, if it is, and whether it has given up
+  /// the duties since then. Once is enough: if all members are cut off, none can do better.
+  std::optional<time_point> cut_off_since_;
+  bool has_yielded_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/libs/instance/weight_task.cpp
+++ b/libs/instance/weight_task.cpp
@@ -58,11 +58,13 @@
     record_failure(order, entry == nullptr ? "gone" : "no_effect");
     return;
   }
-  http1::call_spec spec;
-  spec.target = entry->address;
-  spec.message = context_.protocol.report(order.engine);
-  spec.connect_timeout = connect_timeout;
-  spec.progress_timeout = call_timeout;
+  endpoint_request request{
+      .endpoint = order.engine,
+      .address = entry->address,
+      .attempt = {},
+      .message = [this, engine = order.engine] { return context_.protocol.report(engine); },
+      .repeatable = true,
+      .progress_timeout = call_timeout};
   http1::call_callbacks callbacks;
   callbacks.on_end = [this, order, order_sent, deadline,
                       process = dispatch::endpoint_process{order.engine, entry->process_start_ms}](
@@ -76,7 +78,7 @@
       record_failure(order, "no_report");
     }
   };
-  context_.calls.send(std::move(spec), std::move(callbacks));
+  context_.outgoing.send(std::move(request), std::move(callbacks));
 }
 
 void weight_task::handle_report(const duties::load_order& order, const engine_report& report,
--- a/tests/duties/duty_claim_test.cpp
+++ b/tests/duties/duty_claim_test.cpp
@@ -461,7 +461,7 @@
         holder != live.end() && happens(0.7)) {
       target = *holder;
     }
-    switch (std::uniform_int_distribution<int>(0, 6)(random_)) {
+    switch (std::uniform_int_distribution<int>(0, 7)(random_)) {
     case 0:
       pause(target);
       break;
@@ -488,6 +488,13 @@
       down_until_ = now_ + between(milliseconds(500), seconds(5));
       break;
     case 5:
+      // Hands the duties over and enters again. The end of the lease may arrive late.
+      target->claim.release(now_);
+      target->naive_token = 0;
+      at(now_ + between(milliseconds(1), seconds(1)),
+         [this, lease = target->lease.restart(now_)] { leases_.erase(lease); });
+      break;
+    case 6:
       lost_answers_until_ = now_ + between(seconds(1), seconds(4));
       break;
     default:
--- a/tests/platform/cut_off_test.cpp
+++ b/tests/platform/cut_off_test.cpp
@@ -108,6 +108,15 @@
           CHECK(it.call(*it.first, "POST", "/plans/7", "body").status == 200);
         }
       }
+      SECTION("and hands the duties to it, which orders the endpoints") {
+        REQUIRE(it.first->members().permit(it.loop->now()));
+        CHECK(it.call(*it.first, "POST", "/plans/7", "body").status == 200);
+        REQUIRE(it.loop->run_until(
+            [&] { return it.second->members().permit(it.loop->now()).has_value(); }, wait_limit));
+        CHECK_FALSE(it.first->members().permit(it.loop->now()));
+        it.store.put("op/version/m", {{"model", "m"}, {"version", 2}});
+        REQUIRE(it.loop->run_until([&] { return it.engine->version() == 2; }, wait_limit));
+      }
       SECTION("from the first request on, with none before") {
         it.loop->run_until([] { return false; }, detection_time);
         check_service();
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -144,10 +144,16 @@
   }
 
   void start(const std::string& name, std::unique_ptr<serving_process>& to) {
-    to = std::make_unique<serving_process>(
-        *loop, make_settings(name, store.address(), cloud->local_address(), free_address()), *log,
-        "boot");
-    REQUIRE(to->start());
+    // Another connection may take the free address before the process listens there.
+    constexpr int attempts = 5;
+    bool started = false;
+    for (int n = 0; n < attempts && !started; ++n) {
+      to = std::make_unique<serving_process>(
+          *loop, make_settings(name, store.address(), cloud->local_address(), free_address()), *log,
+          "boot");
+      started = to->start().has_value();
+    }
+    REQUIRE(started);
     REQUIRE(loop->run_until(
         [&] {
           return to->context().routes.version() != 0 &&
