Reject registry entries with values out of range

Report of other operators: one odd entry among those of the endpoints ended the instances that read the list, or they stopped following it. Depth is limited and overlong numbers are refused (now tested with 200,000 levels and 1e999); nothing ended here. But an entry was taken as an endpoint with slots that overflow an int (2^32 + 1 became 1), with a host that is no IPv4 address (connections would have gone to 0.0.0.0, this machine), and with an id that ends a header line, which would have added headers to each request. All of them name no endpoint now.

The configuration's times and counts are checked in the same way: a time of 1e300 ms was converted without a bound.

Looked at and found sound: members, streams, crash records, jobs, permits between instances (typed reads, refused as a whole); a weight version of 63 bits is taken as it stands, as the endpoint states it.

--- a/libs/net/http_types.cpp
+++ b/libs/net/http_types.cpp
@@ -1,5 +1,7 @@
 #include "net/http_types.h"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
 #include <cctype>
 #include <charconv>
@@ -27,6 +29,11 @@
   return {std::string(text.substr(0, colon)), port};
 }
 
+bool is_ip_address(const std::string& host) {
+  in_addr parsed{};
+  return inet_pton(AF_INET, host.c_str(), &parsed) == 1;
+}
+
 std::string_view find_header(const headers& list, std::string_view name) {
   const auto same_letter = [](char a, char b) {
     return std::tolower(static_cast<unsigned char>(a)) ==
--- a/libs/net/http_types.h
+++ b/libs/net/http_types.h
@@ -25,6 +25,9 @@
 /// Parses "host:port"; returns port 0 when the text is no such address.
 address parse_address(std::string_view text);
 
+/// Whether a host is an IPv4 address in dotted decimal notation.
+bool is_ip_address(const std::string& host);
+
 /// Header fields in the order in which they are sent.
 using headers = std::vector<std::pair<std::string, std::string>>;
 
--- a/tests/platform/configuration_codec_test.cpp
+++ b/tests/platform/configuration_codec_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "base/json.h"
+
 namespace boragedoor::platform {
 
 namespace {
@@ -21,6 +23,23 @@
 
 } // namespace
 
+// Guards against undefined conversions of numbers that no time or count can hold.
+TEST_CASE("numbers of a configuration that are out of range are left out") {
+  json from = parse_json(document).value();
+  from["routes"][0]["timeout_ms"] = 1e300;
+  from["routes"][0]["target_latency_ms"] = -1;
+  from["routes"][0]["max_attempts"] = std::uint64_t{1} << 40;
+  from["routes"][1]["max_queue_s"] = 1e300;
+  const auto entry = read_operator_entry("op/config", to_text(from));
+  const auto* it = std::get_if<dispatch::service_configuration>(&entry);
+  REQUIRE(it != nullptr);
+  const dispatch::route defaults;
+  CHECK(it->routes[0].timeout == defaults.timeout);
+  CHECK(it->routes[0].target_latency == defaults.target_latency);
+  CHECK(it->routes[0].max_attempts == 1);
+  CHECK(it->routes[1].max_queue == defaults.max_queue);
+}
+
 TEST_CASE("a configuration is read into the product's own terms") {
   const auto entry = read_operator_entry("op/config", document);
   const auto* it = std::get_if<dispatch::service_configuration>(&entry);
--- a/tests/platform/endpoint_codec_test.cpp
+++ b/tests/platform/endpoint_codec_test.cpp
@@ -1,5 +1,8 @@
 #include "platform/endpoint_codec.h"
 
+#include <limits>
+#include <string>
+
 #include <catch2/catch.hpp>
 
 #include "base/json.h"
@@ -59,6 +62,60 @@
     CHECK_FALSE(read_endpoint("servers/i-1", to_text(entry)));
   }
 
+  // Guards against instances that end or stop following the registry because of one odd entry.
+  SECTION("names no endpoint if a value is out of range") {
+    SECTION("more slots than an int holds") {
+      entry["slots"] = std::uint64_t{1} << 32;
+    }
+    SECTION("slots of which an int would keep one") {
+      entry["slots"] = (std::uint64_t{1} << 32) + 1;
+    }
+    SECTION("slots over 63 bits") {
+      entry["slots"] = std::numeric_limits<std::uint64_t>::max();
+    }
+    SECTION("a negative number of slots") {
+      entry["slots"] = -8;
+    }
+    SECTION("a port over 65535") {
+      entry["address"] = "10.0.0.9:65536";
+    }
+    SECTION("a negative port") {
+      entry["address"] = "10.0.0.9:-1";
+    }
+    SECTION("a host that is no address") {
+      entry["address"] = "10.0.0.999:80";
+    }
+    SECTION("a host that is a name") {
+      entry["address"] = "replica.example:80";
+    }
+    SECTION("a weight version that is negative") {
+      entry["models"][0]["version"] = -1;
+    }
+    CHECK_FALSE(read_endpoint("servers/i-1", to_text(entry)));
+  }
+
+  SECTION("names no endpoint if its id cannot stand in a header") {
+    CHECK_FALSE(read_endpoint("servers/i-1\r\nX: y", to_text(entry)));
+  }
+
+  SECTION("names no endpoint if it is nested very deeply or has a number without end") {
+    constexpr std::size_t depth = 200'000;
+    const std::string text = to_text(entry);
+    const auto with_field = [&](const std::string& value) {
+      return text.substr(0, text.size() - 1) + ",\"more\":" + value + "}";
+    };
+    CHECK_FALSE(read_endpoint("servers/i-1",
+                              with_field(std::string(depth, '[') + std::string(depth, ']'))));
+    CHECK_FALSE(read_endpoint("servers/i-1", std::string(depth, '{')));
+    CHECK_FALSE(read_endpoint("servers/i-1", with_field("1e999")));
+    std::string nested;
+    for (std::size_t n = 0; n < depth; ++n) {
+      nested += "{\"a\":";
+    }
+    CHECK_FALSE(read_endpoint("servers/i-1", with_field(nested + "1" + std::string(depth, '}'))));
+    CHECK(read_endpoint("servers/i-1", with_field("1")));
+  }
+
   SECTION("and bytes that cannot be read name none either") {
     CHECK_FALSE(read_endpoint("servers/i-1", "\xff\x00"));
     CHECK_FALSE(read_endpoint("servers/", to_text(entry)));
