--- /dev/null
+++ b/tests/platform/broken_response_test.cpp
@@ -0,0 +1,183 @@
+#include <chrono>
+
+#include "http1/raw_peer.h"
+#include "link_stand_in.h"
+#include "platform_fixture.h"
+
+namespace boragedoor::platform {
+
+namespace {
+
+constexpr std::string_view plain_head = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n"
+                                        "Response-Signature: sig\r\nContent-Length: 11\r\n\r\n";
+constexpr std::string_view plain_body = "whole body.";
+constexpr std::string_view unframed_head =
+    "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Signature: sig\r\n\r\n";
+constexpr std::string_view stream_head =
+    "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Signature: sig\r\n"
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr std::string_view stream_text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+constexpr std::string_view stream_body =
+    "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
+
+/// How a replica ends a response early.
+enum class ending { close, reset };
+
+/// What a caller sees of a response.
+struct seen_response {
+  int status = 0;
+  std::string body;
+  bool ended = false;
+  bool complete = false;
+};
+
+/// A service whose first replica sends the beginning of a response and ends the connection, and
+/// whose second one answers every request with an error. The first one is preferred, because the
+/// second one states that it is busy.
+struct broken_response_fixture : platform_fixture {
+  broken_response_fixture()
+      : raw(*loop, [this](http1::raw_connection& it) {
+          if (it.received.find("\r\n\r\n") == std::string::npos) {
+            return;
+          }
+          it.received.clear();
+          it.send(std::string_view(response).substr(0, sent_bytes));
+          how == ending::close ? it.close() : it.reset();
+        }) {}
+
+  void announce(const std::string& id, const std::string& service, const net::address& address) {
+    store.put("servers/" + id, {{"service", service},
+                                {"address", net::to_string(address)},
+                                {"zone", "z1"},
+                                {"version", "v1"},
+                                {"slots", 4},
+                                {"state", "ready"},
+                                {"cold_remaining_ms", 0},
+                                {"models", json::array()},
+                                {"sequence", 1},
+                                {"born", 1}});
+    REQUIRE(loop->run_until([&] { return first->context().endpoints.find(id) != nullptr; },
+                            wait_limit));
+  }
+
+  seen_response ask(const std::string& target) {
+    seen_response seen;
+    http1::call_spec spec;
+    spec.target = first->callers_address();
+    spec.message = {"POST",
+                    target,
+                    {{"Host", "a.example"},
+                     {"Attempt-Id", "a1"},
+                     {"Deadline-Ms", "2000"},
+                     {"Authorization", "Bearer key-n"}},
+                    "body"};
+    spec.new_connection = true;
+    http1::call_callbacks callbacks;
+    callbacks.on_head = [&](const http1::response& head) {
+      seen.status = head.status;
+      return true;
+    };
+    callbacks.on_data = [&](std::string_view data) { seen.body += data; };
+    callbacks.on_end = [&](http1::call_outcome outcome, const http1::response&) {
+      seen.ended = true;
+      seen.complete = outcome == http1::call_outcome::complete;
+    };
+    caller.send(std::move(spec), std::move(callbacks));
+    REQUIRE(loop->run_until([&] { return seen.ended; }, wait_limit));
+    return seen;
+  }
+
+  /// Plays a response that ends after each of its bytes in turn and calls `check`.
+  void for_each_break(std::string_view whole, const std::string& target,
+                      const std::function<void(const seen_response&)>& check) {
+    response = whole;
+    for (const ending one : {ending::close, ending::reset}) {
+      how = one;
+      for (sent_bytes = 0; sent_bytes < response.size(); ++sent_bytes) {
+        INFO("after " << sent_bytes << " bytes, " << (one == ending::close ? "closed" : "reset"));
+        check(ask(target));
+        // Otherwise the replica is soon avoided.
+        first->context().endpoints.remove("raw");
+        first->context().endpoints.put(raw_entry);
+      }
+    }
+  }
+
+  http1::raw_server raw;
+  dispatch::endpoint_entry raw_entry;
+  std::string response;
+  std::size_t sent_bytes = 0;
+  ending how = ending::close;
+};
+
+} // namespace
+
+// Guards against a response whose replica stopped in its head or body reaching the caller as a
+// whole one, and against the error of the next replica inside a stream.
+TEST_CASE("a response that ends early never reaches the caller as a complete one") {
+  broken_response_fixture it;
+  std::vector<std::unique_ptr<link_stand_in>> links;
+  const bool relayed = GENERATE(false, true);
+  const auto use = [&](const std::string& service) {
+    it.announce("raw", service, it.raw.address());
+    it.raw_entry = *it.first->context().endpoints.find("raw");
+    if (!relayed) {
+      return;
+    }
+    // The first instance reaches no endpoint, so the second one forwards.
+    it.start("second", it.second);
+    REQUIRE(it.loop->run_until(
+        [&] {
+          return it.second->context().endpoints.find("raw") != nullptr &&
+                 it.first->members().members().all().size() == 2;
+        },
+        wait_limit));
+    std::vector<dispatch::endpoint_entry> entries;
+    it.first->context().endpoints.for_each(
+        [&](const dispatch::endpoint_entry& entry) { entries.push_back(entry); });
+    for (dispatch::endpoint_entry& entry : entries) {
+      links.push_back(std::make_unique<link_stand_in>(*it.loop, entry.address));
+      links.back()->set_state(link_state::refusing);
+      entry.address = links.back()->address();
+      it.first->context().endpoints.put(entry);
+    }
+    it.raw_entry = *it.first->context().endpoints.find("raw");
+  };
+
+  SECTION(relayed ? "of a look-up, through another instance" : "of a look-up") {
+    use("plain");
+    it.plain->omit_signature = true;
+    const std::string whole = std::string(plain_head) + std::string(plain_body);
+    it.for_each_break(whole, "/plans/7", [&](const seen_response& seen) {
+      CHECK(seen.complete);
+      CHECK(seen.status == 502);
+      CHECK(seen.body.find("answer to") == std::string::npos);
+    });
+  }
+
+  SECTION(relayed ? "without a length, through another instance" : "without a length") {
+    use("plain");
+    it.plain->omit_signature = true;
+    it.for_each_break(unframed_head, "/plans/7", [&](const seen_response& seen) {
+      CHECK(seen.complete);
+      CHECK(seen.status == 502);
+    });
+  }
+
+  SECTION(relayed ? "of a stream, through another instance" : "of a stream") {
+    use("models");
+    const std::string whole = std::string(stream_head) + std::string(stream_body);
+    it.for_each_break(whole, "/chat/1", [&](const seen_response& seen) {
+      if (it.sent_bytes < stream_head.size()) {
+        CHECK(seen.complete);
+        CHECK(seen.status == 502);
+      } else {
+        CHECK_FALSE(seen.complete);
+        CHECK(seen.status == 200);
+        CHECK(stream_text.starts_with(seen.body));
+      }
+    });
+  }
+}
+
+} // namespace boragedoor::platform
