Test that crashes count through another instance

A request that crashes endpoints, at an instance without links: each crash is checked through the instance that forwarded the request, and after the third one the request is held.

--- a/tests/platform/cut_off_test.cpp
+++ b/tests/platform/cut_off_test.cpp
@@ -13,9 +13,9 @@
 /// Two instances, three replicas of a plain service and an engine. The links of the first instance
 /// to them can be cut.
 struct cut_off_fixture : platform_fixture {
-  cut_off_fixture() {
+  explicit cut_off_fixture(int replicas = 3) {
     start("second", second);
-    for (int n = 2; n <= 3; ++n) {
+    for (int n = 2; n <= replicas; ++n) {
       others.push_back(std::make_unique<replica_stand_in>(
           *loop, store,
           replica_stand_in::options{.id = "p-" + std::to_string(n), .service = "plain"}));
@@ -23,8 +23,8 @@
     start_engine(milliseconds(5), 20);
     REQUIRE(loop->run_until(
         [&] {
-          return first->context().endpoints.available_count("plain") == 3 &&
-                 second->context().endpoints.available_count("plain") == 3 &&
+          return first->context().endpoints.available_count("plain") == replicas &&
+                 second->context().endpoints.available_count("plain") == replicas &&
                  first->members().members().all().size() == 2;
         },
         wait_limit));
@@ -125,4 +125,34 @@
   }
 }
 
+// Guards against the count of crashes starting again on the way through another instance.
+TEST_CASE("a request that crashes endpoints is held by an instance without links to them") {
+  constexpr int replicas = 5;
+  constexpr int repetitions = 4;
+  const std::string target = "/plans/crash";
+  cut_off_fixture it(replicas);
+  const auto prepare = [&](replica_stand_in& one) {
+    one.crashing_target = target;
+    one.restarts = false;
+  };
+  prepare(*it.plain);
+  for (const auto& one : it.others) {
+    prepare(*one);
+  }
+  it.set_links(link_state::refusing);
+  const auto send = [&](const std::string& id) {
+    return it.call(*it.first, "POST", target, "body that crashes", "key-n", id).status;
+  };
+  // Two attempts each, so that at least three endpoints crash and at least one is left.
+  CHECK(send("x1") == 502);
+  CHECK(send("x2") == 502);
+  it.loop->run_until([] { return false; }, detection_time);
+  for (int n = 0; n < repetitions; ++n) {
+    const std::string id = "y" + std::to_string(n);
+    CHECK(send(id) == 503);
+    CHECK(it.executions(id) == 0);
+  }
+  CHECK(it.call(*it.first, "POST", "/plans/7", "body").status == 200);
+}
+
 } // namespace boragedoor::platform
--- a/tests/platform/replica_stand_in.cpp
+++ b/tests/platform/replica_stand_in.cpp
@@ -36,7 +36,9 @@
 
 void replica_stand_in::crash_and_restart() {
   crash();
-  restart_timer_.start_once(restart_delay);
+  if (restarts) {
+    restart_timer_.start_once(restart_delay);
+  }
 }
 
 void replica_stand_in::restart_with_same_id() {
--- a/tests/platform/replica_stand_in.h
+++ b/tests/platform/replica_stand_in.h
@@ -64,8 +64,10 @@
   std::size_t received = 0;
   /// Leaves requests without a response.
   bool silent = false;
-  /// Crashes when it begins to execute a request with this target, and starts again a moment later.
+  /// Crashes when it begins to execute a request with this target, and starts again a moment later
+  /// if `restarts` is set.
   std::string crashing_target;
+  bool restarts = true;
   /// Omits the signature from responses of a plain service.
   bool omit_signature = false;
   [[nodiscard]] std::uint64_t version() const { return options_.version; }
