Keep one of two partial texts of an item, with its own versions

Cause: when an instance takes a job over, job_run gets the job's saved progress and, after it, the texts that this instance kept from an earlier step. An item may have both. The second one replaced the text, but its versions were added to those of the first one, which the second text does not have.

The longer text is kept, with its own versions. jobs_test: two partial texts in both orders; the shorter text was kept in one order, and a version of the dropped text was named, before.

--- a/libs/jobs/job_run.cpp
+++ b/libs/jobs/job_run.cpp
@@ -35,10 +35,13 @@
       continue;
     }
     tracked_item& restored = items_[found->second];
+    if (restored.last_event && *restored.last_event >= it.last_event) {
+      continue;
+    }
     restored.text = it.text;
     restored.has_text = true;
     restored.last_event = it.last_event;
-    restored.versions.insert(it.versions.begin(), it.versions.end());
+    restored.versions = {it.versions.begin(), it.versions.end()};
     restored.software = it.software;
   }
   rank_items();
--- a/libs/jobs/job_run.h
+++ b/libs/jobs/job_run.h
@@ -84,7 +84,7 @@
 public:
   /// `listed` are the results that are already in the store, in order of position.
   /// `initial_progress` are partial texts from an earlier run of the job or an earlier job; those
-  /// of unknown software are ignored.
+  /// of unknown software are ignored. Of several texts of an item the longest is kept.
   job_run(job contents, std::span<const item_result> listed, time_point now,
           std::span<const item_progress> initial_progress = {},
           const job_run_options& options = {});
--- a/tests/jobs/job_run_test.cpp
+++ b/tests/jobs/job_run_test.cpp
@@ -454,4 +454,35 @@
   }
 }
 
+// Guards against a result that names the versions of a text that was not kept: after a takeover,
+// the same item may have a text from the job's saved progress and one from an earlier step.
+TEST_CASE("an item with two partial texts keeps one of them with its own versions") {
+  const job contents = make_job(1, 1);
+  const item_progress shorter{"g0i0", "t1", 1, {4}, "s/v1"};
+  const item_progress longer{"g0i0", "t1\nt2", 2, {4, 5}, "s/v1"};
+  const auto restore = [&](const std::vector<item_progress>& texts) {
+    job_run run(contents, {}, start, texts);
+    const auto last = run.last_event(0);
+    run.started(0, {"e1", "s/v1"}, start);
+    REQUIRE(run.accept_version(0, 6));
+    REQUIRE(run.append_event(0, make_event(*last + 1, "end"), start));
+    run.ended(0, run_outcome::complete, start);
+    run.reward_started(0);
+    run.reward_ended(0, reward_outcome::scored, "sig", 3, start);
+    return run.take_results(1'000'000, start).at(0);
+  };
+
+  for (const auto& texts : {std::vector{shorter, longer}, std::vector{longer, shorter}}) {
+    const item_result out = restore(texts);
+    CHECK(out.text == "t1\nt2\nend");
+    CHECK(out.versions == std::vector<std::uint64_t>{4, 5, 6});
+  }
+
+  SECTION("also if the shorter one names versions that the longer one lacks") {
+    item_progress other = shorter;
+    other.versions = {7};
+    CHECK(restore({other, longer}).versions == std::vector<std::uint64_t>{4, 5, 6});
+  }
+}
+
 } // namespace boragedoor::jobs
