Choose relays from the seed of the instance, and forget avoided ones

endpoint_calls drew from the system's random device, so that a run could not be repeated. The result of a check is named connection_check: endpoint_state is the name of the registry's states. platform_cut_off_test also has a caller that leaves while its stream comes through another instance: the run ends.

--- a/libs/instance/crash_task.cpp
+++ b/libs/instance/crash_task.cpp
@@ -55,8 +55,8 @@
   }
   context_.outgoing.check(
       process.endpoint, entry->address,
-      [this, alive = alive_, request, fingerprint, process](endpoint_state state) {
-        if (*alive && state == endpoint_state::unconnected) {
+      [this, alive = alive_, request, fingerprint, process](connection_check state) {
+        if (*alive && state == connection_check::unconnected) {
           record_crash(request, fingerprint, process);
         }
       });
--- a/libs/instance/endpoint_calls.cpp
+++ b/libs/instance/endpoint_calls.cpp
@@ -5,7 +5,6 @@
 #include <random>
 #include <utility>
 
-#include "base/hash.h"
 #include "instance/call_limits.h"
 
 namespace boragedoor::instance {
@@ -255,8 +254,8 @@
 };
 
 endpoint_calls::endpoint_calls(net::event_loop& loop, http1::client& client,
-                               const endpoint_protocol& protocol)
-    : loop_(loop), client_(client), protocol_(protocol), random_(std::random_device()()),
+                               const endpoint_protocol& protocol, std::uint64_t seed)
+    : loop_(loop), client_(client), protocol_(protocol), random_(seed),
       probe_timer_(loop, [this] { start_probes(); }),
       silence_timer_(loop, [this] { check_silent_calls(); }) {}
 
@@ -280,11 +279,10 @@
 }
 
 std::optional<net::address> endpoint_calls::choose_relay(const std::vector<net::address>& tried) {
-  const time_point now = loop_.now();
+  std::erase_if(avoided_relays_, [this](const auto& it) { return it.second <= loop_.now(); });
   std::vector<const endpoint_relay*> usable;
   for (const endpoint_relay& it : relays_) {
-    const auto avoided = avoided_relays_.find(it.address);
-    if ((avoided == avoided_relays_.end() || now >= avoided->second) &&
+    if (!avoided_relays_.contains(it.address) &&
         std::find(tried.begin(), tried.end(), it.address) == tried.end()) {
       usable.push_back(&it);
     }
@@ -300,7 +298,7 @@
 }
 
 void endpoint_calls::check(const std::string& endpoint, const net::address& address,
-                           std::function<void(endpoint_state)> done) {
+                           std::function<void(connection_check)> done) {
   const auto relay = is_cut_off() ? choose_relay({}) : std::nullopt;
   if (!relay) {
     check_directly(address, std::move(done));
@@ -317,16 +315,17 @@
                                               const http1::response& response) {
     const std::string_view found = net::find_header(response.headers, outcome_header);
     if (outcome != http1::call_outcome::complete || found == relay_cut_off) {
-      done(endpoint_state::unknown);
+      done(connection_check::unknown);
     } else {
-      done(found == endpoint_response ? endpoint_state::connected : endpoint_state::unconnected);
+      done(found == endpoint_response ? connection_check::connected
+                                      : connection_check::unconnected);
     }
   };
   client_.send(std::move(spec), std::move(callbacks));
 }
 
 void endpoint_calls::check_directly(const net::address& address,
-                                    std::function<void(endpoint_state)> done) {
+                                    std::function<void(connection_check)> done) {
   client_.probe(address, connect_timeout,
                 [this, alive = alive_, address, done = std::move(done)](bool connected) {
                   if (!*alive) {
@@ -334,12 +333,12 @@
                   }
                   if (connected) {
                     note_connected();
-                    done(endpoint_state::connected);
+                    done(connection_check::connected);
                     return;
                   }
                   note_unconnected(address);
                   decide([this, done] {
-                    done(is_cut_off() ? endpoint_state::unknown : endpoint_state::unconnected);
+                    done(is_cut_off() ? connection_check::unknown : connection_check::unconnected);
                   });
                 });
 }
@@ -359,15 +358,15 @@
   } else if (!to) {
     respond(bad_gateway, to_string(http1::call_outcome::not_connected));
   } else if (!net::find_header(headers, check_header).empty()) {
-    check_directly(to->address, [respond](endpoint_state state) {
+    check_directly(to->address, [respond](connection_check state) {
       switch (state) {
-      case endpoint_state::connected:
+      case connection_check::connected:
         respond(ok, endpoint_response);
         return;
-      case endpoint_state::unconnected:
+      case connection_check::unconnected:
         respond(bad_gateway, to_string(http1::call_outcome::not_connected));
         return;
-      case endpoint_state::unknown:
+      case connection_check::unknown:
         respond(bad_gateway, relay_cut_off);
         return;
       }
--- a/libs/instance/endpoint_calls.h
+++ b/libs/instance/endpoint_calls.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <limits>
 #include <map>
@@ -36,8 +37,8 @@
   bool new_connection = false;
 };
 
-/// Whether an endpoint takes connections.
-enum class endpoint_state { connected, unconnected, unknown };
+/// Whether an endpoint takes connections; `unknown` if this instance cannot find out.
+enum class connection_check { connected, unconnected, unknown };
 
 /// Another instance that can forward requests to endpoints.
 struct endpoint_relay {
@@ -72,7 +73,9 @@
   /// must not send to it.
   using resolver = std::function<std::optional<forward_target>(const std::string& endpoint)>;
 
-  endpoint_calls(net::event_loop& loop, http1::client& client, const endpoint_protocol& protocol);
+  /// `seed` decides which relays are chosen.
+  endpoint_calls(net::event_loop& loop, http1::client& client, const endpoint_protocol& protocol,
+                 std::uint64_t seed);
   ~endpoint_calls();
   endpoint_calls(const endpoint_calls&) = delete;
   endpoint_calls& operator=(const endpoint_calls&) = delete;
@@ -92,7 +95,7 @@
 
   /// Finds out whether an endpoint takes connections.
   void check(const std::string& endpoint, const net::address& address,
-             std::function<void(endpoint_state)> done);
+             std::function<void(connection_check)> done);
 
   /// Forwards a request of another instance. Returns false if it is not a request to an endpoint.
   bool answer(const std::shared_ptr<http1::exchange>& from);
@@ -115,7 +118,7 @@
   [[nodiscard]] std::optional<net::address> choose_relay(const std::vector<net::address>& tried);
   /// Sends calls on through relays that wait for a link that this instance does not have.
   void reroute_calls();
-  void check_directly(const net::address& address, std::function<void(endpoint_state)> done);
+  void check_directly(const net::address& address, std::function<void(connection_check)> done);
   void note_connected();
   void note_unconnected(const net::address& endpoint);
   /// Calls `fn` when it is known whether this instance is cut off, after an endpoint took no
--- a/tests/platform/cut_off_test.cpp
+++ b/tests/platform/cut_off_test.cpp
@@ -108,6 +108,14 @@
           CHECK(it.call(*it.first, "POST", "/plans/7", "body").status == 200);
         }
       }
+      SECTION("and ends the run of a caller that leaves") {
+        it.engine = it.make_engine("e-2", "v1", milliseconds(20), 1000);
+        const auto call = it.send(
+            *it.first, "POST", "/chat/1", "s2", [](const auto&) {}, "prompt");
+        REQUIRE(it.loop->run_until([&] { return it.engine->open() > 0; }, wait_limit));
+        call->cancel();
+        CHECK(it.loop->run_until([&] { return it.engine->open() == 0; }, wait_limit));
+      }
       SECTION("and hands the duties to it, which orders the endpoints") {
         REQUIRE(it.first->members().permit(it.loop->now()));
         CHECK(it.call(*it.first, "POST", "/plans/7", "body").status == 200);
--- a/tests/platform/instance_parts.h
+++ b/tests/platform/instance_parts.h
@@ -13,7 +13,7 @@
 /// in data centre "z1".
 struct instance_parts {
   instance_parts(net::event_loop& loop, net::address store, const std::string& name)
-      : calls(loop), outgoing(loop, calls, protocol),
+      : calls(loop), outgoing(loop, calls, protocol, 1),
         store_calls(loop, std::move(store), [](auto, auto, auto) {}),
         log(events::event_log::create({.instance = name, .boot = "b", .path = ""}).value()),
         context{.loop = loop,
