Find a relay also when a whole data centre has no links

Cause: relays in the own data centre were tried first, and the four tries of a request all went to instances without links; what one request learnt was forgotten after 1 s.

--- a/libs/instance/endpoint_calls.cpp
+++ b/libs/instance/endpoint_calls.cpp
@@ -20,9 +20,8 @@
 constexpr duration silence_limit = milliseconds(100);
 constexpr duration min_probe_pause = milliseconds(500);
 
-/// Relays that are tried for one request, and how long one that could not forward is avoided.
-constexpr std::size_t max_relays = 4;
-constexpr duration relay_avoidance = seconds(1);
+/// Relays that are tried for one request. One that is cut off says so within milliseconds.
+constexpr std::size_t max_relays = 16;
 /// Longest time without a byte of the response to a forwarded request. The instance that sent it
 /// has its own, shorter limit.
 constexpr duration forward_timeout = seconds(30);
@@ -152,8 +151,9 @@
 
   /// Returns false if there is no relay left to try.
   bool send_through_relay() {
-    relay_ = may_relay_ && tried_relays_.size() < max_relays ? owner_.choose_relay(tried_relays_)
-                                                             : std::nullopt;
+    relay_ = may_relay_ && tried_relays_.size() < max_relays
+                 ? owner_.relays_.choose(tried_relays_, owner_.loop_.now(), owner_.random_)
+                 : std::nullopt;
     if (!relay_) {
       return false;
     }
@@ -190,7 +190,11 @@
 
   bool on_relay_head(const http1::response& head) {
     relay_outcome_ = net::find_header(head.headers, outcome_header);
-    if (relay_outcome_ != endpoint_response || !callbacks_.on_head) {
+    if (relay_outcome_ != endpoint_response) {
+      return true;
+    }
+    owner_.relays_.note_forwarded(*relay_);
+    if (!callbacks_.on_head) {
       return true;
     }
     http1::response endpoint_head = head;
@@ -208,7 +212,7 @@
     const bool relay_failed =
         outcome == http1::call_outcome::not_connected || relay_outcome_ == relay_cut_off;
     if (relay_failed) {
-      owner_.avoided_relays_[*relay_] = owner_.loop_.now() + relay_avoidance;
+      owner_.relays_.note_failed(*relay_, owner_.loop_.now());
       if (!send_through_relay()) {
         end(http1::call_outcome::not_connected, {});
       }
@@ -278,28 +282,9 @@
   waiting_calls_.erase(&it);
 }
 
-std::optional<net::address> endpoint_calls::choose_relay(const std::vector<net::address>& tried) {
-  std::erase_if(avoided_relays_, [this](const auto& it) { return it.second <= loop_.now(); });
-  std::vector<const endpoint_relay*> usable;
-  for (const endpoint_relay& it : relays_) {
-    if (!avoided_relays_.contains(it.address) &&
-        std::find(tried.begin(), tried.end(), it.address) == tried.end()) {
-      usable.push_back(&it);
-    }
-  }
-  const auto far = std::partition(usable.begin(), usable.end(),
-                                  [](const endpoint_relay* it) { return it->near; });
-  const auto end = far == usable.begin() ? usable.end() : far;
-  if (usable.empty()) {
-    return std::nullopt;
-  }
-  const auto last = static_cast<std::size_t>(end - usable.begin()) - 1;
-  return usable[std::uniform_int_distribution<std::size_t>(0, last)(random_)]->address;
-}
-
 void endpoint_calls::check(const std::string& endpoint, const net::address& address,
                            std::function<void(connection_check)> done) {
-  const auto relay = is_cut_off() ? choose_relay({}) : std::nullopt;
+  const auto relay = is_cut_off() ? relays_.choose({}, loop_.now(), random_) : std::nullopt;
   if (!relay) {
     check_directly(address, std::move(done));
     return;
--- a/libs/instance/endpoint_calls.h
+++ b/libs/instance/endpoint_calls.h
@@ -14,6 +14,7 @@
 
 #include "base/random.h"
 #include "dispatch/endpoint_reachability.h"
+#include "dispatch/relay_selection.h"
 #include "dispatch/service_endpoints.h"
 #include "http1/client.h"
 #include "http1/exchange.h"
@@ -40,13 +41,6 @@
 /// Whether an endpoint takes connections; `unknown` if this instance cannot find out.
 enum class connection_check { connected, unconnected, unknown };
 
-/// Another instance that can forward requests to endpoints.
-struct endpoint_relay {
-  net::address address;
-  /// Relays in the own data centre are tried first.
-  bool near = false;
-};
-
 /// The process of an endpoint to which a request of another instance is forwarded.
 struct forward_target {
   net::address address;
@@ -87,7 +81,9 @@
 
   /// Sets how the endpoints of other instances' requests are found.
   void set_resolver(resolver resolve) { resolve_ = std::move(resolve); }
-  void set_relays(std::vector<endpoint_relay> relays) { relays_ = std::move(relays); }
+  void set_relays(std::vector<dispatch::endpoint_relay> relays) {
+    relays_.set_relays(std::move(relays));
+  }
 
   /// Sends a request. The callbacks are those of `http1::client::send`. If the endpoint takes no
   /// connection, `on_end` waits until it is known whether others do.
@@ -114,8 +110,6 @@
 
   /// Sends a request of another instance to an endpoint and its response back.
   void forward(const std::shared_ptr<http1::exchange>& from, const forward_target& to);
-  /// Chooses a relay other than `tried`; nothing if there is none.
-  [[nodiscard]] std::optional<net::address> choose_relay(const std::vector<net::address>& tried);
   /// Sends calls on through relays that wait for a link that this instance does not have.
   void reroute_calls();
   void check_directly(const net::address& address, std::function<void(connection_check)> done);
@@ -136,9 +130,7 @@
   const endpoint_protocol& protocol_;
   sampler sample_;
   resolver resolve_;
-  std::vector<endpoint_relay> relays_;
-  /// Relays that could not forward lately, with the time until which others are chosen.
-  std::map<net::address, time_point> avoided_relays_;
+  dispatch::relay_selection relays_;
   random_engine random_;
   dispatch::endpoint_reachability reachability_;
   /// Number of endpoints; the maximum until it is known.
--- a/libs/instance/member_task.cpp
+++ b/libs/instance/member_task.cpp
@@ -87,8 +87,8 @@
   return lease_.is_valid(now);
 }
 
-std::vector<endpoint_relay> member_task::endpoint_relays() const {
-  std::vector<endpoint_relay> list;
+std::vector<dispatch::endpoint_relay> member_task::endpoint_relays() const {
+  std::vector<dispatch::endpoint_relay> list;
   for (const duties::member& it : members_.all()) {
     const net::address address = net::parse_address(it.relay);
     if (address.port != 0 && !it.draining && it.instance != context_.identity.name) {
--- a/libs/instance/member_task.h
+++ b/libs/instance/member_task.h
@@ -41,7 +41,7 @@
   /// Relay addresses of the other members.
   [[nodiscard]] std::vector<net::address> relays() const;
   /// Relay addresses of the other members that are not draining, for requests to endpoints.
-  [[nodiscard]] std::vector<endpoint_relay> endpoint_relays() const;
+  [[nodiscard]] std::vector<dispatch::endpoint_relay> endpoint_relays() const;
   /// The role in which this process watches the store.
   [[nodiscard]] watch_role role() const;
   /// Whether this process knows enough members to choose the role in which it watches the store.
