Keep callers' headers from deciding where a forwarded request goes

Found on reading the change: an instance without links added its headers for the forwarding instance behind those of the caller. A caller's header Boragedoor-Endpoint or Boragedoor-Check stood first and was read instead: the request went to another endpoint, or was taken for a check of the connection. A test that sends both got 502; it gets its answer now.

--- a/libs/instance/endpoint_calls.cpp
+++ b/libs/instance/endpoint_calls.cpp
@@ -164,6 +164,8 @@
     http1::call_spec spec = make_spec();
     spec.target = *relay_;
     net::headers& headers = spec.message.headers;
+    // Those of a caller must not decide where the request goes.
+    remove_relay_headers(headers);
     headers.emplace_back(endpoint_header, request_.endpoint);
     headers.emplace_back(attempt_header, request_.attempt);
     if (request_.new_connection) {
--- a/tests/platform/cut_off_test.cpp
+++ b/tests/platform/cut_off_test.cpp
@@ -108,6 +108,25 @@
           CHECK(it.call(*it.first, "POST", "/plans/7", "body").status == 200);
         }
       }
+      SECTION("and does not take a caller's headers for those of an instance") {
+        http1::call_spec spec;
+        spec.target = it.first->callers_address();
+        spec.message = {"POST",
+                        "/plans/7",
+                        {{"Host", "a.example"},
+                         {"Attempt-Id", "h1"},
+                         {"Authorization", "Bearer key-n"},
+                         {"Boragedoor-Endpoint", "e-1"},
+                         {"Boragedoor-Check", "1"}},
+                        "body"};
+        std::optional<http1::response> answer;
+        http1::call_callbacks callbacks;
+        callbacks.on_end = [&](http1::call_outcome, const http1::response& out) { answer = out; };
+        it.caller.send(std::move(spec), std::move(callbacks));
+        REQUIRE(it.loop->run_until([&] { return answer.has_value(); }, wait_limit));
+        CHECK(answer->status == 200);
+        CHECK(answer->body == "answer to h1");
+      }
       SECTION("and ends the run of a caller that leaves") {
         it.engine = it.make_engine("e-2", "v1", milliseconds(20), 1000);
         const auto call = it.send(
