--- a/review/kit.h
+++ b/review/kit.h
@@ -1008,6 +1008,9 @@
     const string log = folder + "/" + name_ + ".log";
     pid_ = ::fork();
     if (pid_ == 0) {
+      sigset_t none;
+      sigemptyset(&none);
+      ::sigprocmask(SIG_SETMASK, &none, nullptr);
       ::setenv("BORAGEDOOR_NODE_FILE", file.c_str(), 1);
       const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       ::dup2(out, 1);
@@ -1194,6 +1197,18 @@
   const char* trouble = std::getenv("TROUBLE");
   const bool play = trouble == nullptr || string(trouble) != "0";
   note("%s", play ? "with the disruption" : "without the disruption");
+  // Ends the processes also when the script itself is told to stop.
+  sigset_t stops;
+  sigemptyset(&stops);
+  sigaddset(&stops, SIGTERM);
+  sigaddset(&stops, SIGINT);
+  sigprocmask(SIG_BLOCK, &stops, nullptr);
+  std::thread([stops] {
+    int number = 0;
+    sigwait(&stops, &number);
+    note("told to stop");
+    finish(2);
+  }).detach();
   // A hard limit for the whole script.
   std::thread([] {
     sleep_s(115);
