--- a/review/kit.h
+++ b/review/kit.h
@@ -504,58 +504,12 @@
     drop(key);
     changed_.notify_all();
   }
-  std::vector<string> keys(const string& prefix) {
-    std::lock_guard hold(mutex_);
-    std::vector<string> list;
-    for (const auto& [key, it] : items_) {
-      if (key.rfind(prefix, 0) == 0)
-        list.push_back(key);
-    }
-    return list;
-  }
-  /// The last value of a key and its revision; empty if there is none.
+  /// The last value of a key; empty if there is none.
   string value(const string& key) {
     std::lock_guard hold(mutex_);
     const auto it = items_.find(key);
     return it == items_.end() ? string() : it->second.value;
   }
-  /// Number of watches of a prefix that wait now.
-  int waiting(const string& prefix) {
-    std::lock_guard hold(mutex_);
-    int n = 0;
-    for (const auto& [id, it] : waiting_)
-      n += it.second == prefix ? 1 : 0;
-    return n;
-  }
-  /// Cuts the watches of a prefix that wait now and erases a key at the same moment.
-  int cut_watches_and_erase(const string& prefix, const string& key) {
-    std::lock_guard hold(mutex_);
-    int n = 0;
-    for (const auto& [id, it] : waiting_) {
-      if (it.second == prefix) {
-        it.first->shut();
-        ++n;
-      }
-    }
-    ++revision_;
-    drop(key);
-    changed_.notify_all();
-    return n;
-  }
-  /// Time of the last renewal of a lease.
-  double last_keep(std::uint64_t lease) {
-    std::lock_guard hold(mutex_);
-    const auto it = leases_.find(lease);
-    return it == leases_.end() ? 0 : it->second.kept;
-  }
-  std::uint64_t lease_of(const string& prefix) {
-    std::lock_guard hold(mutex_);
-    for (const auto& [key, it] : items_) {
-      if (key.rfind(prefix, 0) == 0)
-        return it.lease;
-    }
-    return 0;
-  }
 
 private:
   struct item {
@@ -568,7 +522,7 @@
     item it;
   };
   struct lease {
-    double ttl, end, kept;
+    double ttl, end;
   };
 
   void write(const string& key, string value, std::uint64_t lease_id) {
@@ -685,7 +639,7 @@
       return commit(body);
     if (path == "/kv-lease") {
       const double ttl = body.value("ttl_ms", 1000.0) / 1000;
-      leases_[++last_lease_] = {ttl, now_s() + ttl, now_s()};
+      leases_[++last_lease_] = {ttl, now_s() + ttl};
       return to_text(200, {{"lease", last_lease_}, {"ttl_ms", static_cast<int>(ttl * 1000)}});
     }
     const auto id = std::stoull("0" + path.substr(path.rfind('/') + 1));
@@ -694,7 +648,6 @@
       return to_text(404, json::object());
     if (path.rfind("/kv-keep/", 0) == 0) {
       found->second.end = now_s() + found->second.ttl;
-      found->second.kept = now_s();
     } else {
       end_lease(id);
       leases_.erase(found);
