Refuse requests that a stopping process cannot finish

The endpoint was sound and would have responded at 7.4 s, within the grace period of 8 s.

Cause: the drain ended 1.2 s before the grace period whatever was open, and nothing that decides about a request knew of that end. drain_finished counted the request ("open": 1), and its attempt_started was three seconds older, so neither the count nor the pause before the end is the cause.

Change: dispatch/stop_schedule decides at arrival and before the first send. A request is taken if its caller waits no longer than the process runs; otherwise by the time that requests of its route take (dispatch/request_durations), and a late one that may not be repeated not at all. Refusals are 503, not run, with Retry-After 0.

platform_stop_test failed before in three of four sections: the late request and the early one were cut off.

--- a/libs/base/time.h
+++ b/libs/base/time.h
@@ -30,4 +30,9 @@
   return std::chrono::duration_cast<milliseconds>(at.time_since_epoch()).count();
 }
 
+/// Converts to whole milliseconds.
+inline std::int64_t to_milliseconds(duration of) {
+  return std::chrono::duration_cast<milliseconds>(of).count();
+}
+
 } // namespace boragedoor
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -84,6 +84,10 @@
         it->on_caller_disconnected();
       }
     });
+    if (!may_start()) {
+      refuse_when_stopping();
+      return;
+    }
     deadline_timer_.start_once(plan_.deadline() - context_.loop.now());
     if (is_held()) {
       respond_with_failure();
@@ -100,6 +104,10 @@
   /// waits for it; otherwise responds with a failure.
   void send_or_wait() {
     permit_timer_.cancel();
+    if (plan_.certainly_not_run() && !may_start()) {
+      refuse_when_stopping();
+      return;
+    }
     if (is_held()) {
       respond_with_failure();
       return;
@@ -183,6 +191,41 @@
     finish_request(service_unavailable, "no_continuation");
   }
 
+  /// Whether the request can be answered before this process ends, if it stops.
+  [[nodiscard]] bool may_start() const {
+    return owner_.stop_.may_start({.kind = route_.matched_route->kind,
+                                   .deadline = plan_.deadline(),
+                                   .usual_duration = usual_duration()},
+                                  context_.loop.now());
+  }
+
+  /// How long requests of this route take. A stream that is not known may take all its time: its
+  /// target latency says only when it begins.
+  [[nodiscard]] duration usual_duration() const {
+    const dispatch::route& route = *route_.matched_route;
+    if (const auto longest = owner_.durations_.longest(route.name)) {
+      return *longest;
+    }
+    return route.kind == dispatch::route_kind::stream ? plan_.deadline() - start_time_
+                                                      : route.target_latency;
+  }
+
+  void refuse_when_stopping() {
+    constexpr std::string_view reason = "stopping";
+    const time_point now = context_.loop.now();
+    context_.record(event_number::request_refused, request_.attempt_id, {},
+                    {{"reason", reason},
+                     {"status", service_unavailable},
+                     {"stopping_ms", to_milliseconds(owner_.stop_.elapsed(now))},
+                     {"time_left_ms", to_milliseconds(plan_.deadline() - now)},
+                     {"usual_ms", to_milliseconds(usual_duration())}});
+    // Other instances take the request at once.
+    exchange_->respond(error_response(service_unavailable, reason,
+                                      "this instance stops and may end before the response",
+                                      executed::no, duration::zero()));
+    finish_request(service_unavailable, reason);
+  }
+
   [[nodiscard]] bool is_held() const { return owner_.crashes_.is_held(fingerprint_); }
 
   /// Sends the request to an endpoint that was not tried yet. Returns false if there is none.
@@ -523,6 +566,9 @@
     deadline_timer_.cancel();
     hedge_timer_.cancel();
     permit_timer_.cancel();
+    if (!plan_.attempted_endpoints().empty()) {
+      owner_.durations_.record(route_.matched_route->name, context_.loop.now() - start_time_);
+    }
     context_.count("boragedoor_requests_total", "requests of callers by outcome", reason);
     context_.measure("boragedoor_request_seconds", "time from a request to its response, seconds",
                      context_.loop.now() - start_time_);
@@ -560,8 +606,9 @@
   bool waits_for_permit_ = false;
 };
 
-forwarder::forwarder(instance_context& context, stream_origin_task& origins, crash_task& crashes)
-    : context_(context), origins_(origins), crashes_(crashes) {}
+forwarder::forwarder(instance_context& context, stream_origin_task& origins, crash_task& crashes,
+                     const dispatch::stop_schedule& stop)
+    : context_(context), origins_(origins), crashes_(crashes), stop_(stop) {}
 
 forwarder::~forwarder() = default;
 
--- a/libs/instance/forwarder.h
+++ b/libs/instance/forwarder.h
@@ -11,6 +11,8 @@
 #include <sigc++/signal.h>
 
 #include "dispatch/attempt_plan.h"
+#include "dispatch/request_durations.h"
+#include "dispatch/stop_schedule.h"
 #include "http1/exchange.h"
 #include "instance/crash_task.h"
 #include "instance/instance_context.h"
@@ -37,7 +39,9 @@
 /// Forwards callers' requests to endpoints and the endpoints' responses to the callers.
 class forwarder {
 public:
-  forwarder(instance_context& context, stream_origin_task& origins, crash_task& crashes);
+  /// `stop` decides which requests are taken while this process stops.
+  forwarder(instance_context& context, stream_origin_task& origins, crash_task& crashes,
+            const dispatch::stop_schedule& stop);
   ~forwarder();
   forwarder(const forwarder&) = delete;
   forwarder& operator=(const forwarder&) = delete;
@@ -65,6 +69,8 @@
   instance_context& context_;
   stream_origin_task& origins_;
   crash_task& crashes_;
+  const dispatch::stop_schedule& stop_;
+  dispatch::request_durations durations_;
   std::unordered_set<std::shared_ptr<pending_request>> pending_;
   /// Requests that wait for a permit to send to an endpoint that states a limit.
   std::vector<std::weak_ptr<pending_request>> waiting_;
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -112,8 +112,8 @@
 
 /// The platform's services with up to two instances and two replicas, on one event loop.
 struct platform_fixture {
-  platform_fixture()
-      : loop(net::event_loop::create().value()), store(*loop),
+  explicit platform_fixture(duration grace = seconds(8))
+      : grace_period(grace), loop(net::event_loop::create().value()), store(*loop),
         log(events::event_log::create({.instance = "t", .boot = "b", .path = ""}).value()),
         caller(*loop) {
     store.put("op/config", make_configuration(3));
@@ -148,9 +148,10 @@
     constexpr int attempts = 5;
     bool started = false;
     for (int n = 0; n < attempts && !started; ++n) {
-      to = std::make_unique<serving_process>(
-          *loop, make_settings(name, store.address(), cloud->local_address(), free_address()), *log,
-          "boot");
+      node_settings settings =
+          make_settings(name, store.address(), cloud->local_address(), free_address());
+      settings.grace_period = grace_period;
+      to = std::make_unique<serving_process>(*loop, settings, *log, "boot");
       started = to->start().has_value();
     }
     REQUIRE(started);
@@ -240,6 +241,8 @@
     return results;
   }
 
+  /// Time that instances have to stop.
+  duration grace_period;
   std::unique_ptr<net::event_loop> loop;
   store_stand_in store;
   std::unique_ptr<http1::server> cloud;
--- a/tests/platform/replica_stand_in.cpp
+++ b/tests/platform/replica_stand_in.cpp
@@ -55,7 +55,9 @@
   announce();
 }
 
-replica_stand_in::~replica_stand_in() = default;
+replica_stand_in::~replica_stand_in() {
+  *alive_ = false;
+}
 
 void replica_stand_in::announce(const std::string& state) {
   json models = json::array();
@@ -127,6 +129,19 @@
     start_stream(exchange);
     return;
   }
+  if (work == duration::zero()) {
+    answer(exchange);
+    return;
+  }
+  loop_.post_after(work, [this, alive = alive_, exchange] {
+    if (*alive) {
+      answer(exchange);
+    }
+  });
+}
+
+void replica_stand_in::answer(const std::shared_ptr<http1::exchange>& exchange) {
+  const std::string id(net::find_header(exchange->received().headers, "Attempt-Id"));
   net::headers headers = {{"Attempt-Id", id}, {"Replica-Load", "1,0,4"}};
   if (!limit.empty()) {
     headers.emplace_back("Server-Limit", limit);
--- a/tests/platform/replica_stand_in.h
+++ b/tests/platform/replica_stand_in.h
@@ -64,6 +64,8 @@
   std::size_t received = 0;
   /// Leaves requests without a response.
   bool silent = false;
+  /// Time that a request of a plain service takes.
+  duration work{};
   /// Crashes when it begins to execute a request with this target, and starts again a moment later
   /// if `restarts` is set.
   std::string crashing_target;
@@ -81,6 +83,7 @@
     int next = 1;
   };
   void on_call(const std::shared_ptr<http1::exchange>& exchange);
+  void answer(const std::shared_ptr<http1::exchange>& exchange);
   void start_stream(const std::shared_ptr<http1::exchange>& exchange);
   void on_order(const std::shared_ptr<http1::exchange>& exchange);
   /// Adds the headers about the replica's state.
@@ -101,6 +104,7 @@
   std::uint64_t last_fencing_token_ = 0;
   net::timer timer_;
   net::timer restart_timer_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace boragedoor::platform
--- /dev/null
+++ b/tests/platform/stop_test.cpp
@@ -0,0 +1,156 @@
+#include <chrono>
+
+#include "platform_fixture.h"
+
+namespace boragedoor::platform {
+
+namespace {
+
+/// What a caller gets for one request.
+struct caller_result {
+  bool ended = false;
+  http1::call_outcome outcome = http1::call_outcome::broken;
+  http1::response response;
+
+  [[nodiscard]] bool is_complete() const {
+    return ended && outcome == http1::call_outcome::complete;
+  }
+};
+
+/// An instance that is stopped while callers send requests. It ends as a process does: all its
+/// connections are closed when it has stopped.
+struct stop_fixture : platform_fixture {
+  static constexpr duration grace = seconds(6);
+
+  stop_fixture() : platform_fixture(grace) {
+    json configuration = make_configuration(4);
+    configuration["routes"].push_back({{"name", "tune"},
+                                       {"host", "a.example"},
+                                       {"prefix", "/tune/"},
+                                       {"kind", "unsafe"},
+                                       {"timeout_ms", 10000},
+                                       {"target_latency_ms", 500},
+                                       {"max_attempts", 1},
+                                       {"service", "plain"}});
+    store.put("op/config", configuration);
+    REQUIRE(loop->run_until([&] { return first->context().routes.version() == 4; }, wait_limit));
+  }
+
+  std::shared_ptr<caller_result> open(const std::string& target, const std::string& id,
+                                      duration deadline) {
+    auto out = std::make_shared<caller_result>();
+    http1::call_spec spec;
+    spec.target = callers_address;
+    spec.message = {"POST",
+                    target,
+                    {{"Host", "a.example"},
+                     {"Attempt-Id", id},
+                     {"Deadline-Ms",
+                      std::to_string(std::chrono::duration_cast<milliseconds>(deadline).count())},
+                     {"Authorization", "Bearer key-n"}},
+                    "body"};
+    spec.new_connection = true;
+    spec.progress_timeout = wait_limit;
+    http1::call_callbacks callbacks;
+    callbacks.on_end = [out](http1::call_outcome outcome, http1::response it) {
+      *out = {true, outcome, std::move(it)};
+    };
+    caller.send(std::move(spec), std::move(callbacks));
+    return out;
+  }
+
+  void stop() {
+    first->drain();
+    stopped_at = loop->now();
+  }
+
+  /// Runs the loop until `after` has passed since the instance was told to stop.
+  void wait_until(duration after) {
+    loop->run_until([&] { return loop->now() - stopped_at >= after; }, wait_limit);
+  }
+
+  /// Waits until the instance ends, or until it is killed at the end of its grace period. Its
+  /// connections are closed then.
+  void end_process() {
+    loop->run_until([&] { return first->is_stopped() || loop->now() - stopped_at >= grace; },
+                    wait_limit);
+    first.reset();
+  }
+
+  void await_end(const std::shared_ptr<caller_result>& it) {
+    REQUIRE(loop->run_until([&] { return it->ended; }, wait_limit));
+  }
+
+  [[nodiscard]] bool has_run(const std::string& id) const {
+    return std::find(plain->executed_ids.begin(), plain->executed_ids.end(), id) !=
+           plain->executed_ids.end();
+  }
+
+  net::address callers_address = first->callers_address();
+  time_point stopped_at{};
+};
+
+} // namespace
+
+// Guards against requests that arrive late in a stop, are passed on and get no response because the
+// process ends before the endpoint has responded.
+TEST_CASE("a request that arrives late in a stop is answered before the process ends") {
+  stop_fixture it;
+  it.plain->work = seconds(4);
+  // Keeps the process running until the late request arrives.
+  const auto early = it.open("/tune/x", "early", seconds(9));
+  REQUIRE(it.loop->run_until([&] { return it.has_run("early"); }, wait_limit));
+  it.stop();
+
+  SECTION("one that may take longer than the process has left is refused at once") {
+    it.wait_until(milliseconds(2600));
+    const auto late = it.open("/tune/x", "late", seconds(9));
+    REQUIRE(it.loop->run_until([&] { return late->ended || early->ended; }, wait_limit));
+    CHECK_FALSE(early->ended);
+    it.end_process();
+    it.await_end(late);
+    REQUIRE(late->is_complete());
+    CHECK(late->response.status == 503);
+    CHECK(net::find_header(late->response.headers, "Retry-After") == "0.000");
+    CHECK(net::find_header(late->response.headers, "Connection") == "close");
+    CHECK_FALSE(it.has_run("late"));
+  }
+
+  SECTION("one whose caller waits no longer than the process runs is served") {
+    it.wait_until(milliseconds(2600));
+    it.plain->work = milliseconds(400);
+    const auto late = it.open("/tune/x", "late", milliseconds(800));
+    it.end_process();
+    it.await_end(late);
+    REQUIRE(late->is_complete());
+    CHECK(late->response.status == 200);
+  }
+
+  SECTION("one that may be repeated and usually takes little time is served") {
+    it.wait_until(milliseconds(2600));
+    it.plain->work = milliseconds(20);
+    const auto late = it.open("/plans/7", "late", seconds(9));
+    it.end_process();
+    it.await_end(late);
+    REQUIRE(late->is_complete());
+    CHECK(late->response.status == 200);
+  }
+
+  SECTION("also when the process is told to stop again, and to read its settings") {
+    it.wait_until(milliseconds(2600));
+    it.first->drain();
+    it.first->reload();
+    const auto late = it.open("/tune/x", "late", seconds(9));
+    it.end_process();
+    it.await_end(late);
+    REQUIRE(late->is_complete());
+    CHECK(late->response.status == 503);
+    CHECK_FALSE(it.has_run("late"));
+  }
+
+  it.await_end(early);
+  CHECK(early->is_complete());
+  CHECK(early->response.status == 200);
+}
+
+} // namespace boragedoor::platform
