Answer the requests that are open when a stopping process ends

Callers saw their connections close without a response when their requests outlasted the stop, or waited for a store that did not respond.

Cause: the process ended whatever was open. Callers' requests are known to the forwarder only, calls about jobs only to callbacks of the store.

A response that has been started cannot be replaced and goes on.

--- a/libs/http1/exchange.cpp
+++ b/libs/http1/exchange.cpp
@@ -28,6 +28,7 @@
 
 void exchange::start(const response& it) {
   if (const auto to = connection_.lock(); to && !done_) {
+    started_ = true;
     to->send_start(it);
   }
 }
--- a/libs/http1/exchange.h
+++ b/libs/http1/exchange.h
@@ -30,6 +30,8 @@
 
   /// True while the caller is connected and the response is not finished.
   [[nodiscard]] bool is_open() const;
+  /// Whether a chunked response was started.
+  [[nodiscard]] bool has_started() const { return started_; }
 
   /// Sends a whole response. Does nothing when the caller has left.
   void respond(const response& it);
@@ -51,6 +53,7 @@
   request received_;
   std::string peer_;
   std::function<void()> left_;
+  bool started_ = false;
   bool done_ = false;
 };
 
--- a/libs/http1/server.cpp
+++ b/libs/http1/server.cpp
@@ -102,4 +102,14 @@
                     [](const auto& it) { return it.second->has_exchange(); }));
 }
 
+std::vector<std::shared_ptr<exchange>> server::unanswered() const {
+  std::vector<std::shared_ptr<exchange>> list;
+  for (const auto& [key, it] : connections_) {
+    if (auto open = it->open_exchange(); open && open->is_open() && !open->has_started()) {
+      list.push_back(std::move(open));
+    }
+  }
+  return list;
+}
+
 } // namespace boragedoor::http1
--- a/libs/http1/server.h
+++ b/libs/http1/server.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 #include "base/result.h"
 #include "http1/exchange.h"
@@ -36,6 +37,8 @@
   /// Closes idle connections; those with a request in progress stay.
   void close_idle();
   [[nodiscard]] std::size_t open_exchanges() const;
+  /// Requests whose response has not been started.
+  [[nodiscard]] std::vector<std::shared_ptr<exchange>> unanswered() const;
 
 private:
   server(net::event_loop& loop, handler on_request, refusal on_refusal);
--- a/libs/http1/server_connection.h
+++ b/libs/http1/server_connection.h
@@ -56,6 +56,7 @@
   /// Closes the connection if no request is in progress.
   void close_if_idle();
   [[nodiscard]] bool has_exchange() const { return phase_ == phase::answering; }
+  [[nodiscard]] std::shared_ptr<exchange> open_exchange() const { return exchange_.lock(); }
 
 private:
   enum class phase { head, body, answering, closing };
--- a/libs/instance/error_response.cpp
+++ b/libs/instance/error_response.cpp
@@ -22,6 +22,18 @@
   return it;
 }
 
+http1::response stopping_refusal() {
+  constexpr int unavailable = 503;
+  return error_response(unavailable, stopping_code, "this instance stops", executed::no,
+                        duration::zero());
+}
+
+http1::response stopping_interruption() {
+  constexpr int timeout = 504;
+  return error_response(timeout, stopping_code, "this instance ended before the response",
+                        executed::unknown);
+}
+
 http1::response listener_refusal(int status, std::string_view message) {
   constexpr int timeout = 408;
   constexpr int body_too_large = 413;
--- a/libs/instance/error_response.h
+++ b/libs/instance/error_response.h
@@ -20,4 +20,14 @@
 /// Returns the error response for a message that violates the protocol or a limit of the listener.
 http1::response listener_refusal(int status, std::string_view message);
 
+/// Code of responses to requests that this process cannot finish because it stops.
+inline constexpr std::string_view stopping_code = "stopping";
+
+/// Refuses a request that was not executed because this process stops. Other instances take it at
+/// once, so the caller is told not to wait.
+http1::response stopping_refusal();
+
+/// Answers a request that may have been executed and is still open when this process ends.
+http1::response stopping_interruption();
+
 } // namespace boragedoor::instance
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -138,6 +138,24 @@
     }
   }
 
+  /// Responds that the process ends, unless the response has been started.
+  void end_when_stopping() {
+    if (exchange_->has_started()) {
+      return;
+    }
+    if (plan_.certainly_not_run()) {
+      refuse_when_stopping();
+      return;
+    }
+    for (const auto& it : attempts_) {
+      context_.record(event_number::attempt_failed, request_.attempt_id, it->endpoint,
+                      {{"reason", stopping_code}});
+    }
+    cancel_attempts();
+    exchange_->respond(stopping_interruption());
+    finish_request(gateway_timeout, stopping_code);
+  }
+
 private:
   struct attempt {
     std::string endpoint;
@@ -211,19 +229,15 @@
   }
 
   void refuse_when_stopping() {
-    constexpr std::string_view reason = "stopping";
     const time_point now = context_.loop.now();
     context_.record(event_number::request_refused, request_.attempt_id, {},
-                    {{"reason", reason},
+                    {{"reason", stopping_code},
                      {"status", service_unavailable},
                      {"stopping_ms", to_milliseconds(owner_.stop_.elapsed(now))},
                      {"time_left_ms", to_milliseconds(plan_.deadline() - now)},
                      {"usual_ms", to_milliseconds(usual_duration())}});
-    // Other instances take the request at once.
-    exchange_->respond(error_response(service_unavailable, reason,
-                                      "this instance stops and may end before the response",
-                                      executed::no, duration::zero()));
-    finish_request(service_unavailable, reason);
+    exchange_->respond(stopping_refusal());
+    finish_request(service_unavailable, stopping_code);
   }
 
   [[nodiscard]] bool is_held() const { return owner_.crashes_.is_held(fingerprint_); }
@@ -628,6 +642,13 @@
   }
 }
 
+void forwarder::end_requests() {
+  const auto open = pending_;
+  for (const auto& it : open) {
+    it->end_when_stopping();
+  }
+}
+
 void forwarder::remove_pending(const std::shared_ptr<pending_request>& request) {
   // The request may be running one of its own callbacks, so it is destroyed later by the loop.
   context_.loop.post([keep_alive = request] {});
--- a/libs/instance/forwarder.h
+++ b/libs/instance/forwarder.h
@@ -55,6 +55,9 @@
   /// Tries again to send the requests that wait for a permit, in the order of their arrival.
   void retry_waiting();
 
+  /// Ends the requests whose response has not been started, because the process ends.
+  void end_requests();
+
   /// Number of requests without a complete response.
   [[nodiscard]] std::size_t pending_count() const { return pending_.size(); }
 
--- a/tests/platform/stop_test.cpp
+++ b/tests/platform/stop_test.cpp
@@ -37,18 +37,20 @@
   }
 
   std::shared_ptr<caller_result> open(const std::string& target, const std::string& id,
-                                      duration deadline) {
+                                      duration deadline, const net::headers& more = {},
+                                      const std::string& method = "POST",
+                                      const std::string& body = "body") {
     auto out = std::make_shared<caller_result>();
     http1::call_spec spec;
     spec.target = callers_address;
-    spec.message = {"POST",
+    spec.message = {method,
                     target,
                     {{"Host", "a.example"},
                      {"Attempt-Id", id},
-                     {"Deadline-Ms",
-                      std::to_string(std::chrono::duration_cast<milliseconds>(deadline).count())},
+                     {"Deadline-Ms", std::to_string(to_milliseconds(deadline))},
                      {"Authorization", "Bearer key-n"}},
-                    "body"};
+                    body};
+    spec.message.headers.insert(spec.message.headers.end(), more.begin(), more.end());
     spec.new_connection = true;
     spec.progress_timeout = wait_limit;
     http1::call_callbacks callbacks;
@@ -153,4 +155,64 @@
   CHECK(early->response.status == 200);
 }
 
+// Guards against connections that close without a response because their requests are still open
+// when the process ends.
+TEST_CASE("a request that is still open at the end of a stop gets a response") {
+  stop_fixture it;
+  it.plain->work = wait_limit;
+  const auto once = it.open("/tune/x", "once", seconds(9));
+  REQUIRE(it.loop->run_until([&] { return it.has_run("once"); }, wait_limit));
+
+  SECTION("whose outcome is unknown, if an endpoint runs it") {
+    it.stop();
+    // Its route says that it takes half a second, so it is taken.
+    it.wait_until(seconds(3));
+    const auto look_up = it.open("/plans/7", "look-up", seconds(9));
+    it.end_process();
+    for (const auto& open : {once, look_up}) {
+      it.await_end(open);
+      REQUIRE(open->is_complete());
+      CHECK(open->response.status == 504);
+      CHECK(open->response.body.find("\"executed\":\"unknown\"") != std::string::npos);
+    }
+  }
+
+  SECTION("that says it has not run, if it waits for the store") {
+    it.start_engine();
+    it.stop();
+    // The store knows which software began the stream.
+    it.store.set_fault(store_fault::silent);
+    it.wait_until(milliseconds(4900));
+    const auto take_up =
+        it.open("/chat/1", "s2", milliseconds(500), {{"Last-Event-Id", "3"}, {"Resumes", "s1"}});
+    it.end_process();
+    it.await_end(take_up);
+    REQUIRE(take_up->is_complete());
+    CHECK(take_up->response.status == 503);
+    CHECK(it.engine->executed_ids.empty());
+  }
+
+  SECTION("also if it is about a job") {
+    it.start_engine(milliseconds(50), 200);
+    REQUIRE(it.call(*it.first, "POST", "/jobs/j1", to_text(make_job()), "key-n", "j1").status ==
+            202);
+    it.stop();
+    it.wait_until(milliseconds(5200));
+    it.store.set_fault(store_fault::silent);
+    const auto read =
+        it.open("/lots/j1?after=0", "r1", seconds(9), {{"Wait-Ms", "1000"}}, "GET", "");
+    const auto end = it.open("/lots/j1", "d1", seconds(9), {}, "DELETE", "");
+    const auto submission = it.open("/jobs/j2", "j2", seconds(9), {}, "POST", to_text(make_job()));
+    it.end_process();
+    for (const auto& open : {read, end, submission}) {
+      it.await_end(open);
+      CHECK(open->is_complete());
+    }
+    CHECK(read->response.status == 503);
+    // The job may be stored, or ended, and the caller can repeat both.
+    CHECK(end->response.status >= 500);
+    CHECK(submission->response.status >= 500);
+  }
+}
+
 } // namespace boragedoor::platform
