Wait for the output of connections before a process ends

Cause: a request counted as finished once its response was in the connection's buffer. The decision that the process is idle and the closing of idle connections both relied on that.

Change: a connection is busy while a request is being answered or output is left, and one with output is not closed as idle.

--- a/libs/http1/server.cpp
+++ b/libs/http1/server.cpp
@@ -96,10 +96,10 @@
   }
 }
 
-std::size_t server::open_exchanges() const {
+std::size_t server::busy_connections() const {
   return static_cast<std::size_t>(
       std::count_if(connections_.begin(), connections_.end(),
-                    [](const auto& it) { return it.second->has_exchange(); }));
+                    [](const auto& it) { return it.second->is_busy(); }));
 }
 
 std::vector<std::shared_ptr<exchange>> server::unanswered() const {
--- a/libs/http1/server_connection.cpp
+++ b/libs/http1/server_connection.cpp
@@ -62,8 +62,7 @@
 void server_connection::on_write(bufferevent* /*bev*/, void* self) {
   const auto keep = static_cast<server_connection*>(self)->shared_from_this();
   // A deferred callback may be of an earlier moment, when the output was empty.
-  if (keep->phase_ == phase::closing &&
-      evbuffer_get_length(bufferevent_get_output(keep->bev_)) == 0) {
+  if (keep->phase_ == phase::closing && !keep->has_output()) {
     keep->close();
   }
 }
@@ -255,7 +254,7 @@
     // read is dropped after the idle timeout.
     phase_ = phase::closing;
     timer_.start_once(shared_->limits.idle_timeout);
-    if (evbuffer_get_length(bufferevent_get_output(bev_)) == 0) {
+    if (!has_output()) {
       close();
     }
     return;
@@ -276,8 +275,16 @@
   shared_->on_closed(*this);
 }
 
+bool server_connection::has_output() const {
+  return evbuffer_get_length(bufferevent_get_output(bev_)) > 0;
+}
+
+bool server_connection::is_busy() const {
+  return phase_ == phase::answering || has_output();
+}
+
 void server_connection::close_if_idle() {
-  if (phase_ == phase::head && !head_started_ &&
+  if (phase_ == phase::head && !head_started_ && !has_output() &&
       evbuffer_get_length(bufferevent_get_input(bev_)) == 0) {
     close();
   }
--- a/libs/http1/server_connection.h
+++ b/libs/http1/server_connection.h
@@ -53,9 +53,10 @@
   void send_chunk(std::string_view data);
   void send_end();
   void close();
-  /// Closes the connection if no request is in progress.
+  /// Closes the connection if no request is in progress and nothing is left to send.
   void close_if_idle();
-  [[nodiscard]] bool has_exchange() const { return phase_ == phase::answering; }
+  /// Whether a request is being answered or its response is not sent yet.
+  [[nodiscard]] bool is_busy() const;
   [[nodiscard]] std::shared_ptr<exchange> open_exchange() const { return exchange_.lock(); }
 
 private:
@@ -65,6 +66,7 @@
   static void on_write(bufferevent* bev, void* self);
   static void on_event(bufferevent* bev, short what, void* self);
 
+  [[nodiscard]] bool has_output() const;
   void read_input();
   bool read_head();
   bool read_body();
--- a/tests/http1/raw_peer.cpp
+++ b/tests/http1/raw_peer.cpp
@@ -55,6 +55,14 @@
   bufferevent_write(bev_, bytes.data(), bytes.size());
 }
 
+void raw_connection::set_reading(bool on) {
+  if (on) {
+    bufferevent_enable(bev_, EV_READ);
+  } else {
+    bufferevent_disable(bev_, EV_READ);
+  }
+}
+
 void raw_connection::write_now() {
   // The bufferevent keeps its output to itself until it is thawed.
   evbuffer* output = bufferevent_get_output(bev_);
--- a/tests/http1/server_test.cpp
+++ b/tests/http1/server_test.cpp
@@ -141,6 +141,28 @@
     CHECK(caller->received.find("0\r\n\r\n") == std::string::npos);
   }
 
+  SECTION("a connection is busy until its caller has received the whole response") {
+    // More than the buffers of the system hold.
+    const std::string body(32UL * 1024 * 1024, 'b');
+    hold = true;
+    SECTION("on a kept connection") {
+      caller->send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    SECTION("on one that ends with the response") {
+      caller->send("GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    }
+    REQUIRE(loop->run_until([&] { return held != nullptr; }, patience));
+    CHECK(server->busy_connections() == 1);
+    caller->set_reading(false);
+    held->respond({200, {}, body});
+    held.reset();
+    loop->run_until([] { return false; }, milliseconds(100));
+    CHECK(server->busy_connections() == 1);
+    caller->set_reading(true);
+    REQUIRE(loop->run_until([&] { return server->busy_connections() == 0; }, patience));
+    REQUIRE(loop->run_until([&] { return caller->received.size() > body.size(); }, patience));
+  }
+
   SECTION("a draining server answers and ends each connection with its response") {
     server->drain();
     caller->send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
--- a/tests/platform/replica_stand_in.h
+++ b/tests/platform/replica_stand_in.h
@@ -66,6 +66,8 @@
   bool silent = false;
   /// Time that a request of a plain service takes.
   duration work{};
+  /// Bytes of the response of a plain service; 0 for a short text.
+  std::size_t answer_size = 0;
   /// Crashes when it begins to execute a request with this target, and starts again a moment later
   /// if `restarts` is set.
   std::string crashing_target;
--- a/tests/platform/stop_test.cpp
+++ b/tests/platform/stop_test.cpp
@@ -1,5 +1,6 @@
 #include <chrono>
 
+#include "http1/raw_peer.h"
 #include "platform_fixture.h"
 
 namespace boragedoor::platform {
@@ -36,6 +37,15 @@
     REQUIRE(loop->run_until([&] { return first->context().routes.version() == 4; }, wait_limit));
   }
 
+  /// Sends a request on a connection whose bytes the test reads.
+  std::unique_ptr<http1::raw_connection> send_raw(const std::string& target,
+                                                  const std::string& id) {
+    auto connection = http1::connect_raw(*loop, callers_address);
+    connection->send("POST " + target + " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: " + id +
+                     "\r\nAuthorization: Bearer key-n\r\nContent-Length: 0\r\n\r\n");
+    return connection;
+  }
+
   std::shared_ptr<caller_result> open(const std::string& target, const std::string& id,
                                       duration deadline, const net::headers& more = {},
                                       const std::string& method = "POST",
@@ -215,4 +225,22 @@
   }
 }
 
+// Guards against responses that are cut off because the process ends while its caller still reads.
+TEST_CASE("a response that is being sent when a process stops arrives whole") {
+  stop_fixture it;
+  // More than the buffers of the system hold.
+  it.plain->answer_size = 32UL * 1024 * 1024;
+  const auto slow = it.send_raw("/plans/7", "slow");
+  slow->set_reading(false);
+  REQUIRE(it.loop->run_until([&] { return it.has_run("slow"); }, wait_limit));
+  it.loop->run_until([] { return false; }, milliseconds(500));
+  it.stop();
+  // An idle process has ended by now.
+  it.wait_until(milliseconds(3500));
+  slow->set_reading(true);
+  it.end_process();
+  REQUIRE(it.loop->run_until([&] { return slow->closed_by_peer; }, wait_limit));
+  CHECK(slow->received.size() > it.plain->answer_size);
+}
+
 } // namespace boragedoor::platform
