Wait for requests that are arriving before a process ends

Callers that were sending a request when the process became idle lost their connection and had to send all of it again.

Cause: a connection counted as open only once its request was complete.

Change: a connection is busy from the first byte of a request until its response is sent.

platform_stop_test "a request that is arriving when a process stops is answered" failed before (no response, with only libs/http1 put back) and passes now. A new section checks that requests which arrive until the process ends are answered if they ran; it passed at once.

--- a/libs/http1/server.h
+++ b/libs/http1/server.h
@@ -36,7 +36,8 @@
   void drain();
   /// Closes idle connections; those with a request in progress stay.
   void close_idle();
-  /// Connections with a request that is being answered, or whose response is not sent yet.
+  /// Connections with a request that is being received or answered, or whose response is not sent
+  /// yet.
   [[nodiscard]] std::size_t busy_connections() const;
   /// Requests whose response has not been started.
   [[nodiscard]] std::vector<std::shared_ptr<exchange>> unanswered() const;
--- a/libs/http1/server_connection.cpp
+++ b/libs/http1/server_connection.cpp
@@ -280,7 +280,8 @@
 }
 
 bool server_connection::is_busy() const {
-  return phase_ == phase::answering || has_output();
+  const bool receiving = phase_ == phase::body || (phase_ == phase::head && head_started_);
+  return receiving || phase_ == phase::answering || has_output();
 }
 
 void server_connection::close_if_idle() {
--- a/libs/http1/server_connection.h
+++ b/libs/http1/server_connection.h
@@ -55,7 +55,7 @@
   void close();
   /// Closes the connection if no request is in progress and nothing is left to send.
   void close_if_idle();
-  /// Whether a request is being answered or its response is not sent yet.
+  /// Whether a request is being received or answered, or its response is not sent yet.
   [[nodiscard]] bool is_busy() const;
   [[nodiscard]] std::shared_ptr<exchange> open_exchange() const { return exchange_.lock(); }
 
--- a/tests/platform/stop_test.cpp
+++ b/tests/platform/stop_test.cpp
@@ -202,6 +202,23 @@
     CHECK(it.engine->executed_ids.empty());
   }
 
+  SECTION("and so do those that arrive until the process ends") {
+    it.stop();
+    it.wait_until(milliseconds(5000));
+    it.plain->work = milliseconds(300);
+    std::map<std::string, std::unique_ptr<http1::raw_connection>> late;
+    while (!it.first->is_stopped() && it.loop->now() - it.stopped_at < stop_fixture::grace) {
+      const std::string id = "r" + std::to_string(late.size());
+      late[id] = it.send_raw("/plans/7", id);
+      it.loop->run_until([&] { return it.first->is_stopped(); }, milliseconds(5));
+    }
+    it.end_process();
+    for (const auto& [id, from] : late) {
+      REQUIRE(it.loop->run_until([&] { return from->closed_by_peer; }, wait_limit));
+      CHECK((!it.has_run(id) || from->received.find("HTTP/1.1 ") != std::string::npos));
+    }
+  }
+
   SECTION("also if it is about a job") {
     it.start_engine(milliseconds(50), 200);
     REQUIRE(it.call(*it.first, "POST", "/jobs/j1", to_text(make_job()), "key-n", "j1").status ==
@@ -243,4 +260,24 @@
   CHECK(slow->received.size() > it.plain->answer_size);
 }
 
+// Guards against requests whose callers have to send them again because the process ends while they
+// are still arriving.
+TEST_CASE("a request that is arriving when a process stops is answered") {
+  stop_fixture it;
+  const auto sending = http1::connect_raw(*it.loop, it.callers_address);
+  sending->send("POST /plans/7 HTTP/1.1\r\nHost: a.example\r\n");
+  it.stop();
+  // Within the time that the limits allow for the header fields.
+  it.wait_until(milliseconds(2000));
+  sending->send("Attempt-Id: body\r\nAuthorization: Bearer key-n\r\nContent-Length: 10\r\n\r\n");
+  // An idle process ends after two and a half seconds.
+  for (int n = 0; n < 10; ++n) {
+    it.wait_until(milliseconds(2500 + 100 * n));
+    sending->send("x");
+  }
+  it.end_process();
+  REQUIRE(it.loop->run_until([&] { return sending->closed_by_peer; }, wait_limit));
+  CHECK(sending->received.find("answer to body") != std::string::npos);
+}
+
 } // namespace boragedoor::platform
