Finish forwarded requests before a process ends

Callers of an instance without links to the endpoints lost their streams and requests when the instance that forwarded them was stopped.

Cause: requests of other instances arrive at a listener that the stop neither refused nor counted.

platform_cut_off_test "an instance that stops finishes the requests that it forwards for another one" failed before (the stream broke off, the late request ran); it passes now.

--- a/libs/http1/server.cpp
+++ b/libs/http1/server.cpp
@@ -102,6 +102,11 @@
                     [](const auto& it) { return it.second->is_busy(); }));
 }
 
+bool server::has_output() const {
+  return std::any_of(connections_.begin(), connections_.end(),
+                     [](const auto& it) { return it.second->has_output(); });
+}
+
 std::vector<std::shared_ptr<exchange>> server::unanswered() const {
   std::vector<std::shared_ptr<exchange>> list;
   for (const auto& [key, it] : connections_) {
--- a/libs/http1/server.h
+++ b/libs/http1/server.h
@@ -39,6 +39,8 @@
   /// Connections with a request that is being received or answered, or whose response is not sent
   /// yet.
   [[nodiscard]] std::size_t busy_connections() const;
+  /// Whether part of a response is not sent yet.
+  [[nodiscard]] bool has_output() const;
   /// Requests whose response has not been started.
   [[nodiscard]] std::vector<std::shared_ptr<exchange>> unanswered() const;
 
--- a/libs/http1/server_connection.h
+++ b/libs/http1/server_connection.h
@@ -57,6 +57,8 @@
   void close_if_idle();
   /// Whether a request is being received or answered, or its response is not sent yet.
   [[nodiscard]] bool is_busy() const;
+  /// Whether part of a response is not sent yet.
+  [[nodiscard]] bool has_output() const;
   [[nodiscard]] std::shared_ptr<exchange> open_exchange() const { return exchange_.lock(); }
 
 private:
@@ -66,7 +68,6 @@
   static void on_write(bufferevent* bev, void* self);
   static void on_event(bufferevent* bev, short what, void* self);
 
-  [[nodiscard]] bool has_output() const;
   void read_input();
   bool read_head();
   bool read_body();
--- a/libs/instance/endpoint_calls.cpp
+++ b/libs/instance/endpoint_calls.cpp
@@ -340,7 +340,8 @@
     from->respond({status, {{std::string(outcome_header), std::string(outcome)}}, {}});
   };
   const auto to = resolve_ ? resolve_(endpoint) : std::nullopt;
-  if (is_cut_off()) {
+  // Instances of earlier versions know no other outcome that makes them ask the next one.
+  if (is_cut_off() || forwarding_stopped_) {
     respond(bad_gateway, relay_cut_off);
   } else if (!to) {
     respond(bad_gateway, to_string(http1::call_outcome::not_connected));
@@ -380,6 +381,13 @@
       .message = [message = std::move(message)] { return message; },
       .progress_timeout = forward_timeout,
       .new_connection = net::find_header(received.headers, connection_header) == new_connection};
+  // Dropped with the callbacks, however the request ends.
+  ++open_forwards_;
+  const std::shared_ptr<void> open(nullptr, [this, alive = alive_](void*) {
+    if (*alive) {
+      --open_forwards_;
+    }
+  });
   const auto started = std::make_shared<bool>(false);
   http1::call_callbacks callbacks;
   callbacks.on_head = [this, from, started, process = to.process,
@@ -397,7 +405,8 @@
     return true;
   };
   callbacks.on_data = [from](std::string_view data) { from->send_chunk(data); };
-  callbacks.on_end = [this, from, started](http1::call_outcome outcome, const http1::response&) {
+  callbacks.on_end = [this, from, started, open](http1::call_outcome outcome,
+                                                 const http1::response&) {
     if (!*started) {
       const bool cut_off = outcome == http1::call_outcome::not_connected && is_cut_off();
       from->respond({bad_gateway,
--- a/libs/instance/endpoint_calls.h
+++ b/libs/instance/endpoint_calls.h
@@ -96,6 +96,12 @@
   /// Forwards a request of another instance. Returns false if it is not a request to an endpoint.
   bool answer(const std::shared_ptr<http1::exchange>& from);
 
+  /// Refuses further requests of other instances, which then ask the next one. Those in progress
+  /// continue.
+  void stop_forwarding() { forwarding_stopped_ = true; }
+  /// Number of requests of other instances in progress.
+  [[nodiscard]] std::size_t open_forwards() const { return open_forwards_; }
+
   [[nodiscard]] bool is_cut_off() const { return reachability_.is_cut_off(); }
   /// Emitted when this instance is cut off from all endpoints, and when it no longer is.
   sigc::signal<void(bool cut_off)> cut_off_changed;
@@ -142,6 +148,8 @@
   /// When a byte last arrived from any endpoint.
   time_point last_byte_at_{};
   time_point last_probes_at_{};
+  bool forwarding_stopped_ = false;
+  std::size_t open_forwards_ = 0;
   net::timer probe_timer_;
   net::timer silence_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/libs/instance/relay_listener.h
+++ b/libs/instance/relay_listener.h
@@ -24,6 +24,8 @@
                                                         local_handler handle_locally);
 
   [[nodiscard]] const net::address& local_address() const { return server_->local_address(); }
+  /// Whether part of a response is not sent yet.
+  [[nodiscard]] bool has_output() const { return server_->has_output(); }
 
 private:
   relay_listener(net::event_loop& loop, net::address store, local_handler handle_locally);
--- a/tests/platform/cut_off_test.cpp
+++ b/tests/platform/cut_off_test.cpp
@@ -182,4 +182,46 @@
   CHECK(it.call(*it.first, "POST", "/plans/7", "body").status == 200);
 }
 
+// Guards against requests that break off at an instance without links to the endpoints because the
+// instance that forwards them is stopped.
+TEST_CASE("an instance that stops finishes the requests that it forwards for another one") {
+  cut_off_fixture it;
+  it.set_links(link_state::refusing);
+  it.loop->run_until([] { return false; }, detection_time);
+  // Longer than an idle process takes to stop.
+  it.engine = it.make_engine("e-2", "v1", milliseconds(100), 40);
+  std::optional<http1::response> stream;
+  it.send(
+      *it.first, "POST", "/chat/1", "s1", [&](const http1::response& out) { stream = out; },
+      "prompt");
+  REQUIRE(it.loop->run_until([&] { return it.engine->open() > 0; }, wait_limit));
+  it.second->drain();
+
+  SECTION("and takes no further ones") {
+    http1::call_spec spec;
+    spec.target = it.second->relay_address();
+    spec.message = {"POST",
+                    "/plans/7",
+                    {{"Host", "a.example"},
+                     {"Attempt-Id", "late"},
+                     {"Boragedoor-Endpoint", "p-1"},
+                     {"Boragedoor-Attempt", "late"}},
+                    "body"};
+    std::optional<http1::response> answer;
+    http1::call_callbacks callbacks;
+    callbacks.on_end = [&](http1::call_outcome, const http1::response& out) { answer = out; };
+    it.caller.send(std::move(spec), std::move(callbacks));
+    REQUIRE(it.loop->run_until([&] { return answer.has_value(); }, wait_limit));
+    // The other instance tries the next one.
+    CHECK(net::find_header(answer->headers, "Boragedoor-Outcome") == "cut_off");
+    CHECK(it.executions("late") == 0);
+  }
+
+  REQUIRE(it.loop->run_until([&] { return it.second->is_stopped(); }, wait_limit));
+  it.second.reset();
+  REQUIRE(it.loop->run_until([&] { return stream.has_value(); }, wait_limit));
+  CHECK(stream->status == 200);
+  CHECK(stream->body.find("id: 40\n") != std::string::npos);
+}
+
 } // namespace boragedoor::platform
