--- a/libs/instance/usage_task.cpp
+++ b/libs/instance/usage_task.cpp
@@ -41,7 +41,6 @@
 }
 
 void usage_task::flush_all() {
-  // The process accepts no more requests, so the counts of the window in progress are final.
   for (const std::uint64_t window :
        tally_.ended_windows(context_.stable_wall_now() + tally_.window_length())) {
     flush(window);
--- a/libs/instance/usage_task.h
+++ b/libs/instance/usage_task.h
@@ -24,7 +24,8 @@
 
   void start();
   void count(const std::string& workspace);
-  /// Writes all counts to the store, including those of the window in progress.
+  /// Writes all counts to the store, including those of the window in progress. Nothing may be
+  /// counted afterwards.
   void flush_all();
   [[nodiscard]] bool is_flushed() const { return pending_flushes_ == 0; }
 
--- a/tests/platform/stop_test.cpp
+++ b/tests/platform/stop_test.cpp
@@ -280,4 +280,38 @@
   CHECK(sending->received.find("answer to body") != std::string::npos);
 }
 
+// Guards against reports of usage that lack the requests which run while an instance stops.
+TEST_CASE("requests that run while a process stops are counted as usage") {
+  stop_fixture it;
+  it.start("second", it.second);
+  it.stop();
+  std::size_t sent = 0;
+  while (!it.first->is_stopped()) {
+    REQUIRE(it.loop->now() - it.stopped_at < stop_fixture::grace);
+    const auto look_up = it.open("/plans/7", "u" + std::to_string(sent++), seconds(1));
+    it.loop->run_until([&] { return it.first->is_stopped(); }, milliseconds(30));
+    if (it.loop->now() - it.stopped_at > milliseconds(2450)) {
+      it.loop->run_until([&] { return it.first->is_stopped(); }, wait_limit);
+    }
+  }
+  it.end_process();
+
+  const auto reported = [&] {
+    std::map<std::string, std::size_t> by_window;
+    for (const http1::request& report : it.reports) {
+      const json body = parse_json(report.body).value();
+      by_window[to_text(body["window_index"])] = body["counts"].value("north", 0);
+    }
+    std::size_t total = 0;
+    for (const auto& [window, n] : by_window) {
+      total += n;
+    }
+    return total;
+  };
+  const std::size_t run = it.plain->executed_ids.size();
+  CHECK(run > 0);
+  it.loop->run_until([&] { return reported() >= run; }, wait_limit);
+  CHECK(reported() == run);
+}
+
 } // namespace boragedoor::platform
