Verify the process of an endpoint before a stream goes on there

Callers could get streams joined from two software versions (ORDER) when an instance was cut off or stood still while an endpoint was started again under its id with another version: the response of the new process is taken for that of the former one, because Expect-Replica names the id alone and a response says nothing of its process.

Cause: the software of an endpoint is what the instance last read from the registry. That belief was used twice without a check: for the record of which software began a stream, and for the choice of an endpoint that continues one.

Change: - The record of a stream's software is written only on the condition that the registry's entry has not changed. After a conflict the present entry decides: the same process is recorded, another one or none is not. Until the record is stored, the stream is not taken up. No further calls in the calm case. - A continued stream is held until endpoint_verifier has confirmed the process: the endpoint's report says when it started; if it does not, the registry's entry is read. The check is made after the response has begun, so a pause between check and use changes nothing. Otherwise the caller gets a 502 without an event.

--- a/libs/dispatch/service_endpoints.h
+++ b/libs/dispatch/service_endpoints.h
@@ -35,6 +35,9 @@
   /// Start time of the process in Unix milliseconds. It changes when a new process takes over the
   /// id.
   std::int64_t process_start_ms = 0;
+  /// Key of the entry in the registry, and the revision of its last change that is known.
+  std::string key{};
+  std::uint64_t revision = 0;
 };
 
 /// A process of an endpoint.
--- a/libs/dispatch/stream_origins.cpp
+++ b/libs/dispatch/stream_origins.cpp
@@ -14,20 +14,22 @@
 } // namespace
 
 bool stream_origins::add(const stream_origin& origin, time_point now) {
-  if (origin.attempt.empty() || !software_.try_emplace(origin.attempt, origin.software).second) {
+  if (origin.attempt.empty() || streams_.contains(origin.attempt)) {
     return true;
   }
-  by_age_.emplace_back(now, origin.attempt);
   if (unstored_.size() >= max_unstored) {
     return false;
   }
+  streams_.emplace(origin.attempt, known_stream{origin.software, false});
+  by_age_.emplace_back(now, origin.attempt);
   unstored_.push_back(origin);
   return true;
 }
 
 std::optional<std::string> stream_origins::find(std::string_view attempt) const {
-  const auto it = software_.find(attempt);
-  return it == software_.end() ? std::nullopt : std::optional(it->second);
+  const auto it = streams_.find(attempt);
+  return it == streams_.end() || !it->second.stored ? std::nullopt
+                                                    : std::optional(it->second.software);
 }
 
 std::vector<stream_origin> stream_origins::unstored(std::size_t max) const {
@@ -35,14 +37,35 @@
   return {unstored_.begin(), unstored_.begin() + count};
 }
 
-void stream_origins::mark_stored(std::size_t count) {
-  const auto stored = static_cast<std::ptrdiff_t>(std::min(count, unstored_.size()));
-  unstored_.erase(unstored_.begin(), unstored_.begin() + stored);
+void stream_origins::mark_stored(const std::vector<stream_origin>& records) {
+  for (const stream_origin& record : records) {
+    std::erase_if(unstored_, [&](const auto& it) { return it.attempt == record.attempt; });
+    if (const auto it = streams_.find(record.attempt); it != streams_.end()) {
+      it->second.stored = true;
+    }
+  }
+}
+
+void stream_origins::set_revision(std::string_view attempt, std::uint64_t revision) {
+  const auto it = std::find_if(unstored_.begin(), unstored_.end(),
+                               [attempt](const auto& one) { return one.attempt == attempt; });
+  if (it != unstored_.end()) {
+    it->revision = revision;
+  }
+}
+
+void stream_origins::drop(std::string_view attempt) {
+  std::erase_if(unstored_, [attempt](const auto& it) { return it.attempt == attempt; });
+  if (const auto it = streams_.find(attempt); it != streams_.end()) {
+    streams_.erase(it);
+  }
 }
 
 void stream_origins::expire(time_point now) {
   while (!by_age_.empty() && now - by_age_.front().first >= retention) {
-    software_.erase(by_age_.front().second);
+    if (const auto it = streams_.find(by_age_.front().second); it != streams_.end()) {
+      streams_.erase(it);
+    }
     by_age_.pop_front();
   }
 }
--- a/libs/instance/endpoint_protocol.h
+++ b/libs/instance/endpoint_protocol.h
@@ -97,6 +97,9 @@
   [[nodiscard]] virtual endpoint_reply read(const http1::response& head) const = 0;
   [[nodiscard]] virtual std::optional<engine_report>
   read_report(const http1::response& response) const = 0;
+  /// Returns when the process that made a report started, in Unix milliseconds, if it says so.
+  [[nodiscard]] virtual std::optional<std::int64_t>
+  read_process_start(const http1::response& report) const = 0;
   /// Returns the weight version that a stream event announces, if any.
   [[nodiscard]] virtual std::optional<std::uint64_t>
   version_change(const jobs::stream_event& event) const = 0;
--- a/libs/instance/endpoint_task.cpp
+++ b/libs/instance/endpoint_task.cpp
@@ -40,11 +40,13 @@
 
 void endpoint_task::on_put(const stored_item& it) {
   unconfirmed_removals_.erase(it.key);
-  const auto entry = decode_(it.key, it.value);
+  auto entry = decode_(it.key, it.value);
   if (!entry) {
     remove_endpoint(it.key, "unreadable");
     return;
   }
+  entry->key = it.key;
+  entry->revision = it.revision;
   const routing::endpoint& description = entry->description;
   const auto* known = context_.endpoints.find(description.id);
   if (known == nullptr || known->process_start_ms != entry->process_start_ms) {
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -157,6 +157,12 @@
   }
 
 private:
+  struct unverified_stream {
+    http1::response head;
+    std::string data;
+    /// Set if the stream has ended.
+    std::optional<http1::call_outcome> end;
+  };
   struct attempt {
     std::string endpoint;
     std::string software;
@@ -165,6 +171,8 @@
     time_point sent_at;
     bool execution_started = false;
     bool streaming = false;
+    /// What has arrived of a continued stream whose process is not verified yet.
+    std::optional<unverified_stream> unverified{};
   };
 
   /// Finds out which software began the stream that the request continues. The rest must come from
@@ -283,7 +291,7 @@
     attempts_.push_back(it);
     http1::call_callbacks callbacks;
     callbacks.on_head = [self = shared_from_this(), it](const http1::response& head) {
-      return self->on_head(*it, head);
+      return self->on_head(it, head);
     };
     if (route_.matched_route->kind == dispatch::route_kind::stream) {
       callbacks.on_data = [self = shared_from_this(), it](std::string_view data) {
@@ -308,26 +316,73 @@
     return true;
   }
 
-  bool on_head(attempt& it, const http1::response& head) {
+  bool on_head(const std::shared_ptr<attempt>& it, const http1::response& head) {
     const endpoint_reply reply = context_.protocol.read(head);
     if (!reply.attempt.empty() && reply.attempt != request_.attempt_id) {
-      context_.record(event_number::attempt_failed, request_.attempt_id, it.endpoint,
+      context_.record(event_number::attempt_failed, request_.attempt_id, it->endpoint,
                       {{"reason", "late_response"}, {"answers", reply.attempt}});
       return false;
     }
-    context_.note_reply(it.process, reply, it.sent_at);
-    note_execution_started(it, reply);
+    context_.note_reply(it->process, reply, it->sent_at);
+    note_execution_started(*it, reply);
     if (route_.matched_route->kind == dispatch::route_kind::stream && is_success(head.status) &&
         !reply.signature.empty()) {
-      it.streaming = true;
-      if (route_.matched_route->resumable && !request_.continues_stream) {
-        owner_.origins_.record(request_.attempt_id, it.software);
+      it->streaming = true;
+      http1::response started{head.status, context_.protocol.forwarded_headers(head), {}};
+      if (request_.continues_stream) {
+        it->unverified = {std::move(started), {}, {}};
+        verify(it);
+        return true;
       }
-      exchange_->start({head.status, context_.protocol.forwarded_headers(head), {}});
+      if (route_.matched_route->resumable) {
+        owner_.origins_.record(request_.attempt_id, {it->process, it->software});
+      }
+      exchange_->start(started);
     }
     return true;
   }
 
+  /// Finds out whether the process that continues the stream is the one that it was chosen for.
+  void verify(const std::shared_ptr<attempt>& it) {
+    owner_.verifier_.verify({it->process, it->software},
+                            [self = weak_from_this(), it](process_verdict verdict) {
+                              const auto request = self.lock();
+                              if (request != nullptr && request->is_open(it)) {
+                                request->on_verified(it, verdict);
+                              }
+                            });
+  }
+
+  [[nodiscard]] bool is_open(const std::shared_ptr<attempt>& it) const {
+    return std::find(attempts_.begin(), attempts_.end(), it) != attempts_.end();
+  }
+
+  void on_verified(const std::shared_ptr<attempt>& it, process_verdict verdict) {
+    const unverified_stream stream = *std::exchange(it->unverified, std::nullopt);
+    if (verdict == process_verdict::confirmed) {
+      exchange_->start(stream.head);
+      exchange_->send_chunk(stream.data);
+      if (stream.end) {
+        std::erase(attempts_, it);
+        end_stream(*it, *stream.end);
+      }
+      return;
+    }
+    std::erase(attempts_, it);
+    it->call->cancel();
+    it->streaming = false;
+    context_.endpoints.note_finished(it->endpoint, std::nullopt, context_.loop.now());
+    if (verdict == process_verdict::refuted) {
+      context_.endpoints.note_misdirected(it->endpoint);
+    }
+    context_.record(event_number::attempt_failed, request_.attempt_id, it->endpoint,
+                    {{"reason", "process_not_verified"},
+                     {"verdict", to_string(verdict)},
+                     {"process", it->process.start_ms},
+                     {"software", it->software}});
+    take_next_step(plan_.record_result(dispatch::attempt_result::unknown, context_.loop.now()));
+  }
+
   void note_execution_started(attempt& it, const endpoint_reply& reply) {
     if (!reply.not_run && !std::exchange(it.execution_started, true) &&
         !std::exchange(usage_counted_, true) && !route_.workspace.empty()) {
@@ -336,13 +391,19 @@
   }
 
   void on_data(attempt& it, std::string_view data) {
-    if (it.streaming) {
+    if (it.unverified) {
+      it.unverified->data += data;
+    } else if (it.streaming) {
       exchange_->send_chunk(data);
     }
   }
 
   void on_end(const std::shared_ptr<attempt>& it, http1::call_outcome outcome,
               http1::response response) {
+    if (it->unverified) {
+      it->unverified->end = outcome;
+      return;
+    }
     std::erase(attempts_, it);
     if (it->streaming) {
       end_stream(*it, outcome);
@@ -522,8 +583,7 @@
   void on_deadline() {
     const auto keep_alive = shared_from_this();
     const bool not_run = plan_.certainly_not_run();
-    const bool stream_started = std::any_of(attempts_.begin(), attempts_.end(),
-                                            [](const auto& it) { return it->streaming; });
+    const bool stream_started = exchange_->has_started();
     for (const auto& it : attempts_) {
       context_.record(event_number::attempt_failed, request_.attempt_id, it->endpoint,
                       {{"reason", "deadline"}});
@@ -621,8 +681,8 @@
 };
 
 forwarder::forwarder(instance_context& context, stream_origin_task& origins, crash_task& crashes,
-                     const dispatch::stop_schedule& stop)
-    : context_(context), origins_(origins), crashes_(crashes), stop_(stop) {}
+                     endpoint_verifier& verifier, const dispatch::stop_schedule& stop)
+    : context_(context), origins_(origins), crashes_(crashes), verifier_(verifier), stop_(stop) {}
 
 forwarder::~forwarder() = default;
 
--- a/libs/instance/forwarder.h
+++ b/libs/instance/forwarder.h
@@ -15,6 +15,7 @@
 #include "dispatch/stop_schedule.h"
 #include "http1/exchange.h"
 #include "instance/crash_task.h"
+#include "instance/endpoint_verifier.h"
 #include "instance/instance_context.h"
 #include "instance/stream_origin_task.h"
 
@@ -41,7 +42,7 @@
 public:
   /// `stop` decides which requests are taken while this process stops.
   forwarder(instance_context& context, stream_origin_task& origins, crash_task& crashes,
-            const dispatch::stop_schedule& stop);
+            endpoint_verifier& verifier, const dispatch::stop_schedule& stop);
   ~forwarder();
   forwarder(const forwarder&) = delete;
   forwarder& operator=(const forwarder&) = delete;
@@ -72,6 +73,7 @@
   instance_context& context_;
   stream_origin_task& origins_;
   crash_task& crashes_;
+  endpoint_verifier& verifier_;
   const dispatch::stop_schedule& stop_;
   dispatch::request_durations durations_;
   std::unordered_set<std::shared_ptr<pending_request>> pending_;
--- a/libs/instance/stream_origin_task.cpp
+++ b/libs/instance/stream_origin_task.cpp
@@ -1,5 +1,6 @@
 #include "instance/stream_origin_task.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <fmt/format.h>
@@ -11,9 +12,10 @@
 namespace {
 
 constexpr std::string_view key_prefix = "boragedoor/streams/";
-/// The store takes keys of up to 200 bytes and changes of up to 32 keys.
+/// The store takes keys of up to 200 bytes and changes of up to 32 keys. Each record may need one
+/// more for the entry of its endpoint.
 constexpr std::size_t max_key_size = 200;
-constexpr std::size_t max_records_at_once = 32;
+constexpr std::size_t max_records_at_once = 16;
 /// Time in which records are collected for one call.
 constexpr duration store_interval = milliseconds(100);
 /// Interval at which old records are forgotten while no new ones come.
@@ -29,17 +31,27 @@
 
 } // namespace
 
-stream_origin_task::stream_origin_task(instance_context& context)
-    : context_(context), timer_(context.loop, [this] { tick(); }) {}
+stream_origin_task::stream_origin_task(instance_context& context, const endpoint_verifier& verifier)
+    : context_(context), verifier_(verifier), timer_(context.loop, [this] { tick(); }) {}
 
-void stream_origin_task::record(const std::string& attempt, const std::string& software) {
+void stream_origin_task::record(const std::string& attempt, const expected_process& from) {
   if (key_of(attempt).size() > max_key_size) {
     context_.record(events::event_number::stream_not_recorded, attempt, {},
                     {{"reason", "the id is too long"}});
     return;
   }
+  const dispatch::endpoint_entry* entry = context_.endpoints.find(from.process.endpoint);
+  const dispatch::stream_origin origin{.attempt = attempt,
+                                       .software = from.software,
+                                       .process = from.process,
+                                       .key = entry == nullptr ? std::string() : entry->key,
+                                       .revision = entry == nullptr ? 0 : entry->revision};
+  if (entry == nullptr || entry->process_start_ms != from.process.start_ms) {
+    drop(origin, "the endpoint was replaced");
+    return;
+  }
   const bool idle = origins_.unstored(1).empty();
-  if (!origins_.add({attempt, software}, context_.loop.now())) {
+  if (!origins_.add(origin, context_.loop.now())) {
     context_.record(events::event_number::stream_not_recorded, attempt, {},
                     {{"reason", "too many records wait for the store"}});
   }
@@ -109,34 +121,71 @@
 }
 
 void stream_origin_task::store_records(time_point now) {
-  const auto records = origins_.unstored(max_records_at_once);
+  auto records = origins_.unstored(max_records_at_once);
   if (records.empty() || now - lease_since_ >= lease_use) {
     return;
   }
   store_change change;
   for (const dispatch::stream_origin& it : records) {
+    const bool listed = std::any_of(change.expected.begin(), change.expected.end(),
+                                    [&](const expectation& other) { return other.key == it.key; });
+    if (!listed) {
+      change.expected.push_back({it.key, it.revision});
+    }
     change.puts.push_back({key_of(it.attempt), it.software, lease_});
   }
   storing_ = true;
-  context_.store.commit(change,
-                        [this, count = records.size(), alive = alive_](const commit_answer& it) {
-                          if (*alive) {
-                            on_stored(count, it.status);
-                          }
-                        });
+  context_.store.commit(
+      change, [this, records = std::move(records), alive = alive_](const commit_answer& it) {
+        if (*alive) {
+          on_stored(records, it);
+        }
+      });
 }
 
-void stream_origin_task::on_stored(std::size_t count, store_status status) {
+void stream_origin_task::on_stored(const std::vector<dispatch::stream_origin>& records,
+                                   const commit_answer& answer) {
   storing_ = false;
-  if (status == store_status::missing) {
+  switch (answer.status) {
+  case store_status::ok:
+    origins_.mark_stored(records);
+    store_records(context_.loop.now());
+    return;
+  case store_status::missing:
     // The lease has ended.
     lease_ = 0;
     return;
+  case store_status::conflict:
+    check_changed(records, answer.found);
+    return;
+  case store_status::refused:
+  case store_status::unknown:
+    return;
   }
-  if (status == store_status::ok) {
-    origins_.mark_stored(count);
-    store_records(context_.loop.now());
+}
+
+void stream_origin_task::check_changed(const std::vector<dispatch::stream_origin>& records,
+                                       const std::vector<stored_item>& found) {
+  for (const dispatch::stream_origin& record : records) {
+    const auto entry = std::find_if(found.begin(), found.end(), [&](const stored_item& it) {
+      return it.key == record.key && it.revision != 0;
+    });
+    if (entry == found.end()) {
+      drop(record, "the endpoint's entry is gone");
+    } else if (verifier_.compare(*entry, {record.process, record.software}) !=
+               process_verdict::confirmed) {
+      drop(record, "the endpoint was replaced");
+    } else {
+      origins_.set_revision(record.attempt, entry->revision);
+    }
   }
 }
 
+void stream_origin_task::drop(const dispatch::stream_origin& record, std::string_view reason) {
+  origins_.drop(record.attempt);
+  context_.record(events::event_number::stream_not_recorded, record.attempt,
+                  record.process.endpoint,
+                  {{"reason", reason}, {"process", record.process.start_ms}});
+}
+
 } // namespace boragedoor::instance
--- a/libs/instance/stream_origin_task.h
+++ b/libs/instance/stream_origin_task.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "dispatch/stream_origins.h"
+#include "instance/endpoint_verifier.h"
 #include "instance/instance_context.h"
 
 namespace boragedoor::instance {
@@ -28,17 +29,21 @@
 /// Design note: the records are written a moment after the stream has begun, many at once. A
 /// stream whose record was not written before its instance was killed cannot be continued; asking
 /// the store before the first event is forwarded would delay every stream.
+///
+/// A record is written only while the registry's entry of the endpoint is unchanged or names the
+/// same process, so an instance that missed an endpoint's change of software does not record the
+/// former one.
 class stream_origin_task {
 public:
-  explicit stream_origin_task(instance_context& context);
+  stream_origin_task(instance_context& context, const endpoint_verifier& verifier);
   ~stream_origin_task() { *alive_ = false; }
   stream_origin_task(const stream_origin_task&) = delete;
   stream_origin_task& operator=(const stream_origin_task&) = delete;
   stream_origin_task(stream_origin_task&&) = delete;
   stream_origin_task& operator=(stream_origin_task&&) = delete;
 
-  /// Records that software of this version has begun the stream of a caller's attempt.
-  void record(const std::string& attempt, const std::string& software);
+  /// Records that a process has begun the stream of a caller's attempt.
+  void record(const std::string& attempt, const expected_process& from);
   /// Finds out which software began the stream of an attempt. `done` may be called at once.
   void find(const std::string& attempt, std::function<void(const origin_answer&)> done);
 
@@ -46,9 +51,14 @@
   void tick();
   void store_records(time_point now);
   void request_lease(time_point now);
-  void on_stored(std::size_t count, store_status status);
+  void on_stored(const std::vector<dispatch::stream_origin>& records, const commit_answer& answer);
+  /// Compares the records whose endpoints' entries have changed with the present entries.
+  void check_changed(const std::vector<dispatch::stream_origin>& records,
+                     const std::vector<stored_item>& found);
+  void drop(const dispatch::stream_origin& record, std::string_view reason);
 
   instance_context& context_;
+  const endpoint_verifier& verifier_;
   dispatch::stream_origins origins_;
   /// The lease that new records are bound to, and when it was requested. Records vanish with it.
   std::uint64_t lease_ = 0;
--- a/tests/platform/replica_stand_in.cpp
+++ b/tests/platform/replica_stand_in.cpp
@@ -41,9 +41,12 @@
   }
 }
 
-void replica_stand_in::restart_with_same_id() {
+void replica_stand_in::restart_with_same_id(const std::string& software) {
   crash();
   ++restarts_;
+  if (!software.empty()) {
+    options_.software = software;
+  }
   listen(address_);
   announce();
 }
@@ -93,15 +96,14 @@
     return;
   }
   if (request.target == "/report") {
-    exchange->respond(
-        {200,
-         {{"Content-Type", "application/json"}},
-         to_text({{"stage", "both"},
-                  {"models", {{{"name", options_.model}, {"version", options_.version}}}},
-                  {"busy", false},
-                  {"sequence", accepted_orders_},
-                  {"queued", 0},
-                  {"running", open_runs_.size()}})});
+    json report = {
+        {"stage", "both"}, {"models", {{{"name", options_.model}, {"version", options_.version}}}},
+        {"busy", false},   {"sequence", accepted_orders_},
+        {"queued", 0},     {"running", open_runs_.size()}};
+    if (reports_start) {
+      report["born"] = 1 + restarts_;
+    }
+    exchange->respond({200, {{"Content-Type", "application/json"}}, to_text(report)});
     return;
   }
   if (request.target == "/order") {
--- a/tests/platform/replica_stand_in.h
+++ b/tests/platform/replica_stand_in.h
@@ -45,8 +45,9 @@
   void crash();
   /// Crashes and, a moment later, starts a new process with another id at the same address.
   void crash_and_restart();
-  /// Starts a new process with the same id at the same address.
-  void restart_with_same_id();
+  /// Starts a new process with the same id at the same address, and with another version of the
+  /// software if `software` is given.
+  void restart_with_same_id(const std::string& software = {});
 
   /// Attempt ids of the executed requests, in order.
   std::vector<std::string> executed_ids;
@@ -72,6 +73,8 @@
   /// if `restarts` is set.
   std::string crashing_target;
   bool restarts = true;
+  /// States in reports when the process started.
+  bool reports_start = true;
   /// Omits the signature from responses of a plain service.
   bool omit_signature = false;
   [[nodiscard]] std::uint64_t version() const { return options_.version; }
--- a/tests/platform/stream_version_test.cpp
+++ b/tests/platform/stream_version_test.cpp
@@ -144,4 +144,78 @@
   }
 }
 
+// Guards against streams that are joined from two software versions at an instance that was cut off
+// or stood still while an endpoint was started again under its id with another version.
+TEST_CASE("an instance that does not know an endpoint's new process does not join its streams") {
+  platform_fixture it;
+  it.engine = it.make_engine("e-1", "v1", interval, events);
+  it.start("second", it.second);
+  it.engine->reports_start = GENERATE(true, false);
+  const auto has_begun = [&](const std::shared_ptr<stream>& one) {
+    return it.loop->run_until(
+        [&] { return one->text.find("id: 3\n") != std::string::npos || one->ended; }, wait_limit);
+  };
+  const auto await_record = [&] {
+    it.loop->run_until([&] { return !it.store.keys("boragedoor/streams/").empty(); }, storing_time);
+  };
+  /// Replaces the process and leaves the second instance with its former entry.
+  const auto restart_behind_second = [&] {
+    dispatch::service_endpoints& table = it.second->context().endpoints;
+    REQUIRE(it.loop->run_until([&] { return table.find("e-1") != nullptr; }, wait_limit));
+    const dispatch::endpoint_entry former = *table.find("e-1");
+    it.engine->restart_with_same_id("v2");
+    for (serving_process* at : {it.first.get(), it.second.get()}) {
+      REQUIRE(it.loop->run_until(
+          [&] { return at->context().endpoints.find("e-1")->software == "models/v2"; },
+          wait_limit));
+    }
+    table.put(former);
+  };
+
+  SECTION("when a stream is taken up there") {
+    const auto begun = open_stream(it, *it.first, "s1");
+    REQUIRE(has_begun(begun));
+    await_record();
+    restart_behind_second();
+    const auto taken_up = open_stream(it, *it.second, "s2", 3, "s1");
+    REQUIRE(it.loop->run_until([&] { return taken_up->ended; }, wait_limit));
+    CHECK(taken_up->status == 502);
+    CHECK(taken_up->text.find("id: ") == std::string::npos);
+    // The endpoint gets no further ones until its entry changes.
+    const auto again = open_stream(it, *it.second, "s3", 3, "s1");
+    REQUIRE(it.loop->run_until([&] { return again->ended; }, wait_limit));
+    CHECK(again->status == 503);
+    CHECK(it.engine->executed_ids.size() == 2);
+  }
+
+  SECTION("when a stream began there") {
+    restart_behind_second();
+    const auto begun = open_stream(it, *it.second, "s1");
+    REQUIRE(has_begun(begun));
+    REQUIRE(begun->status == 200);
+    await_record();
+    const auto older = it.make_engine("e-2", "v1", interval, events);
+    begun->call->cancel();
+    for (serving_process* at : {it.first.get(), it.second.get()}) {
+      const auto taken_up = open_stream(it, *at, "s2", 3, "s1");
+      REQUIRE(it.loop->run_until([&] { return taken_up->ended; }, wait_limit));
+      CHECK(taken_up->status == 503);
+    }
+    CHECK(older->executed_ids.empty());
+  }
+
+  SECTION("a stream whose endpoint is as it was known is taken up there") {
+    const auto begun = open_stream(it, *it.first, "s1");
+    REQUIRE(has_begun(begun));
+    await_record();
+    begun->call->cancel();
+    const auto taken_up = open_stream(it, *it.second, "s2", 3, "s1");
+    REQUIRE(it.loop->run_until([&] { return taken_up->ended; }, wait_limit));
+    CHECK(taken_up->status == 200);
+    CHECK(taken_up->complete);
+    CHECK(taken_up->text.find("id: 4\ndata: t4\n") == 0);
+    CHECK(taken_up->text.find("id: 40\n") != std::string::npos);
+  }
+}
+
 } // namespace boragedoor::platform
