Verify the software of a text before it is continued

Trainers could get results whose text was joined from two software versions, when the instance that ran the job was cut off or stood still while an endpoint was started again under its id with another version.

Change: the last part of a text carries the process that generated it, also in saved progress and in texts for another instance (two new fields, which earlier builds ignore). Before a text goes on, the registry must name the same software for that endpoint; one call serves all runs that ended together. The process that continues it is verified as for callers' streams, and its events wait until then. A text that is refuted starts anew. Which software an entry named is compared, not the process, so a crash and restart of the same software costs nothing.

Cost: a read of the store for each process whose runs were interrupted, and a report for each continued run.

--- a/libs/dispatch/service_endpoints.cpp
+++ b/libs/dispatch/service_endpoints.cpp
@@ -42,8 +42,10 @@
 /// Older load reports are ignored; only the own open requests count then.
 constexpr duration max_report_age = milliseconds(700);
 
-/// Number of leaving processes from which those without an entry are forgotten.
+/// Numbers of leaving processes and of former endpoints from which those without an entry are
+/// forgotten.
 constexpr std::size_t max_leaving_processes = 4096;
+constexpr std::size_t max_former_endpoints = 4096;
 
 bool holds_weights(const endpoint_entry& entry, const endpoint_requirements& requirements) {
   if (requirements.model.empty()) {
@@ -154,6 +156,16 @@
   }
   it.rank = hash64(id, seed_);
   add_to_service(it);
+  if (last_software_.size() >= tracked_.size() + max_former_endpoints) {
+    std::erase_if(last_software_,
+                  [this](const auto& one) { return find_tracked(one.first) == nullptr; });
+  }
+  last_software_[id] = entry.software;
+}
+
+std::string_view service_endpoints::last_software(std::string_view id) const {
+  const auto it = last_software_.find(id);
+  return it == last_software_.end() ? std::string_view() : it->second;
 }
 
 void service_endpoints::remove(std::string_view id) {
--- a/libs/dispatch/service_endpoints.h
+++ b/libs/dispatch/service_endpoints.h
@@ -111,6 +111,9 @@
   void put(const endpoint_entry& entry);
   void remove(std::string_view id);
   [[nodiscard]] const endpoint_entry* find(std::string_view id) const;
+  /// Returns the software of the last entry of an id, also after it was removed; empty if it is not
+  /// known.
+  [[nodiscard]] std::string_view last_software(std::string_view id) const;
 
   /// Returns the endpoint with the lowest cost, or nothing if none can take the request. The cost
   /// is the load relative to capacity plus penalties, for example for another data centre.
@@ -236,6 +239,8 @@
   time_point health_updated_at_{};
   /// Processes that state that they leave, by endpoint id.
   std::map<std::string, std::int64_t, std::less<>> leaving_;
+  /// Software of the last entry by endpoint id.
+  std::map<std::string, std::string, std::less<>> last_software_;
   std::size_t limited_count_ = 0;
   /// Ids of the endpoints for which permits are wanted and not yet requested.
   std::vector<std::string> wanted_permits_;
--- a/libs/instance/endpoint_verifier.h
+++ b/libs/instance/endpoint_verifier.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -10,12 +12,14 @@
 
 namespace boragedoor::instance {
 
-/// Whether a response came from the process that this instance took the endpoint for.
+/// Whether a response came from the software that this instance took the endpoint for.
 enum class process_verdict {
   confirmed,
-  /// Another process runs under the endpoint's id, or the software differs.
+  /// Other software runs under the endpoint's id, or a process that the registry does not name.
   refuted,
-  /// Neither the endpoint nor the registry tells.
+  /// The endpoint has no entry any more, and its last one named the software.
+  gone,
+  /// Neither the endpoint nor the registry tells now.
   unknown,
 };
 
@@ -28,12 +32,12 @@
   std::string software;
 };
 
-/// Finds out whether an endpoint is still the process that this instance takes it for.
+/// Finds out whether an endpoint still runs the software that this instance takes it for.
 ///
 /// An endpoint may start again under its id with other software, and its responses do not tell. An
 /// instance that missed the change of the registry, because it was cut off or stood still, would
 /// join the parts of a stream from different software. The check is made after the response has
-/// begun: a process that is confirmed then was the endpoint's only one since its entry was read.
+/// begun, so a pause between the check and the request changes nothing.
 class endpoint_verifier {
 public:
   endpoint_verifier(instance_context& context, endpoint_decoder decode)
@@ -47,14 +51,21 @@
   /// Asks an endpoint that is responding when its process started, and the registry if the endpoint
   /// does not say. `done` is never called before this returns.
   void verify(const expected_process& expected, std::function<void(process_verdict)> done);
-  /// Reads the endpoint's entry from the registry. `done` is never called before this returns.
+  /// Reads the endpoint's entry from the registry, for a process that may have ended. `done` is
+  /// never called before this returns.
   void verify_registered(const expected_process& expected,
                          std::function<void(process_verdict)> done);
-  /// Compares an entry of the registry with a process.
-  [[nodiscard]] process_verdict compare(const stored_item& entry,
-                                        const expected_process& expected) const;
+  /// Compares an entry of the registry with what was expected. `started` is when the process of the
+  /// endpoint started, if it says so.
+  [[nodiscard]] process_verdict compare(const stored_item& entry, const expected_process& expected,
+                                        std::optional<std::int64_t> started = std::nullopt) const;
 
 private:
+  void read_entry(const expected_process& expected, std::optional<std::int64_t> started,
+                  std::function<void(process_verdict)> done);
+  /// The verdict on an endpoint that has no entry in the registry.
+  [[nodiscard]] process_verdict verdict_without_entry(const expected_process& expected) const;
+
   instance_context& context_;
   endpoint_decoder decode_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -47,12 +47,16 @@
 constexpr int min_events_before_move = 8;
 constexpr double max_interval_ratio = 0.87;
 
+/// Longest time that the verification of a text takes: two calls to the store on different paths.
+constexpr duration verification_limit = seconds(2);
+
 constexpr int unprocessable = 422;
 
 } // namespace
 
-job_runner::job_runner(instance_context& context, job_store& store, loaded_job loaded)
-    : context_(context), store_(store),
+job_runner::job_runner(instance_context& context, job_store& store, endpoint_verifier& verifier,
+                       loaded_job loaded)
+    : context_(context), store_(store), verifier_(verifier),
       run_(std::move(loaded.contents), loaded.listed, context.loop.now(), loaded.progress),
       listed_(loaded.listed.size(), max_cached_bytes),
       next_save_(context.loop.now() + save_interval) {}
@@ -172,6 +176,10 @@
   if (route == nullptr) {
     return start_result::no_endpoint;
   }
+  if (const auto& source = run_.unverified_source(n)) {
+    verify_text(n, *source, now);
+    return start_result::postponed;
+  }
   const std::string service = service_for(*route, n);
   dispatch::endpoint_requirements requirements{.service = service,
                                                .model = item.model,
@@ -192,7 +200,7 @@
     if (!run_.postpone(n, context_.endpoints.has_ready(service, requirements.software), now)) {
       return start_result::postponed;
     }
-    context_.record(event_number::text_discarded, item.id, {}, {{"job", job.id}});
+    discard_text(n, "no_endpoint");
     requirements.software = {};
     chosen = context_.endpoints.choose(requirements, context_.loop.now(), context_.random);
   }
@@ -202,6 +210,7 @@
   const auto it = std::make_shared<active_call>(active_call{.item = n,
                                                             .endpoint = chosen->id,
                                                             .process = chosen->process(),
+                                                            .software = chosen->software,
                                                             .call = {},
                                                             .reader = {},
                                                             .sent_at = now});
@@ -222,13 +231,13 @@
       .repeatable = true,
       .progress_timeout = stream_timeout};
   context_.note_sent(chosen->id, "item");
-  run_.started(n, {chosen->id, chosen->software}, now);
+  run_.started(n, {chosen->id, chosen->software, chosen->process_start_ms}, now);
   runs_[n] = it;
   context_.record(
       event_number::item_started, item.id, chosen->id,
       {{"job", job.id}, {"after", run_.last_event(n).value_or(0)}, {"software", chosen->software}});
   http1::call_callbacks callbacks;
-  callbacks.on_head = [this, it](const http1::response& head) { return on_head(*it, head); };
+  callbacks.on_head = [this, it](const http1::response& head) { return on_head(it, head); };
   callbacks.on_data = [this, it](std::string_view data) { on_data(*it, data); };
   callbacks.on_end = [this, it](http1::call_outcome outcome, const http1::response& response) {
     on_end(it, outcome, response);
@@ -237,26 +246,122 @@
   return start_result::started;
 }
 
-bool job_runner::on_head(active_call& it, const http1::response& head) {
+bool job_runner::on_head(const std::shared_ptr<active_call>& it, const http1::response& head) {
   const endpoint_reply reply = context_.protocol.read(head);
-  if (!reply.attempt.empty() && reply.attempt != run_.item(it.item).id) {
+  if (!reply.attempt.empty() && reply.attempt != run_.item(it->item).id) {
     return false;
   }
-  context_.note_reply(it.process, reply, it.sent_at);
+  context_.note_reply(it->process, reply, it->sent_at);
   constexpr int ok = 200;
   if (head.status != ok || reply.not_run || reply.signature.empty()) {
     return true;
   }
-  it.accepted = true;
+  it->accepted = true;
   if (reply.weight_version) {
-    context_.endpoints.note_version(it.endpoint, run_.item(it.item).model, *reply.weight_version);
-    if (!run_.accept_version(it.item, *reply.weight_version)) {
-      reject(it, jobs::run_outcome::stale_weights);
+    context_.endpoints.note_version(it->endpoint, run_.item(it->item).model, *reply.weight_version);
+    if (!run_.accept_version(it->item, *reply.weight_version)) {
+      reject(*it, jobs::run_outcome::stale_weights);
+      return true;
     }
   }
+  if (run_.last_event(it->item)) {
+    verify_run(it);
+  }
   return true;
 }
 
+void job_runner::verify_text(std::size_t n, const jobs::text_source& source, time_point now) {
+  run_.hold(n, now + verification_limit);
+  text_verification& it = verifications_[source];
+  const bool scheduled = !it.waiting.empty() || !it.in_progress.empty();
+  it.waiting.push_back(n);
+  if (!scheduled) {
+    // Later, so that one call serves all runs that an endpoint's crash has ended.
+    context_.loop.post([this, alive = alive_, source] {
+      if (*alive && !stopped_) {
+        start_verification(source);
+      }
+    });
+  }
+}
+
+void job_runner::start_verification(const jobs::text_source& source) {
+  text_verification& it = verifications_[source];
+  it.in_progress = std::exchange(it.waiting, {});
+  verifier_.verify_registered({{source.endpoint, source.process_start_ms},
+                               std::string(run_.software(it.in_progress.front()))},
+                              [this, alive = alive_, source](process_verdict verdict) {
+                                if (*alive && !stopped_) {
+                                  on_text_verified(source, verdict);
+                                }
+                              });
+}
+
+void job_runner::on_text_verified(const jobs::text_source& source, process_verdict verdict) {
+  const time_point now = context_.loop.now();
+  const auto items = std::exchange(verifications_[source].in_progress, {});
+  if (verifications_[source].waiting.empty()) {
+    verifications_.erase(source);
+  } else {
+    start_verification(source);
+  }
+  for (const std::size_t n : items) {
+    if (run_.unverified_source(n) != source) {
+      continue;
+    }
+    switch (verdict) {
+    case process_verdict::confirmed:
+    case process_verdict::gone:
+      run_.confirm_text(n);
+      run_.hold(n, now);
+      break;
+    case process_verdict::refuted:
+      run_.refute_text(n, now);
+      discard_text(n, "other_software");
+      break;
+    case process_verdict::unknown:
+      if (run_.postpone(n, true, now)) {
+        run_.hold(n, now);
+        discard_text(n, "not_verified");
+      }
+      break;
+    }
+  }
+  start_ready(now);
+}
+
+void job_runner::discard_text(std::size_t n, std::string_view reason) {
+  context_.record(event_number::text_discarded, run_.item(n).id, {},
+                  {{"job", run_.contents().id}, {"reason", reason}});
+}
+
+void job_runner::verify_run(const std::shared_ptr<active_call>& it) {
+  it->unverified.emplace();
+  verifier_.verify({it->process, it->software},
+                   [this, alive = alive_, it](process_verdict verdict) {
+                     const auto found = *alive ? runs_.find(it->item) : runs_.end();
+                     if (*alive && found != runs_.end() && found->second == it) {
+                       on_run_verified(it, verdict);
+                     }
+                   });
+}
+
+void job_runner::on_run_verified(const std::shared_ptr<active_call>& it, process_verdict verdict) {
+  const unverified_run run = *std::exchange(it->unverified, std::nullopt);
+  if (verdict == process_verdict::confirmed) {
+    run_.confirm_run(it->item);
+    on_data(*it, run.data);
+    if (run.end) {
+      on_end(it, run.end->first, run.end->second);
+    }
+    return;
+  }
+  if (verdict == process_verdict::refuted) {
+    context_.endpoints.note_misdirected(it->endpoint);
+  }
+  cancel_run(it->item, jobs::run_outcome::broken, "process_not_verified");
+}
+
 void job_runner::reject(active_call& it, jobs::run_outcome outcome) {
   if (!std::exchange(it.rejected, true)) {
     it.rejection = outcome;
@@ -274,6 +379,10 @@
   if (!it.accepted || it.rejected) {
     return;
   }
+  if (it.unverified) {
+    it.unverified->data += data;
+    return;
+  }
   const bool readable = it.reader.feed(data, [this, &it](const jobs::stream_event& event) {
     if (it.rejected) {
       return;
@@ -304,6 +413,10 @@
 
 void job_runner::on_end(const std::shared_ptr<active_call>& it, http1::call_outcome outcome,
                         const http1::response& response) {
+  if (it->unverified) {
+    it->unverified->end.emplace(outcome, response);
+    return;
+  }
   runs_.erase(it->item);
   const endpoint_reply reply = context_.protocol.read(response);
   if (it->rejected) {
--- a/libs/instance/job_runner.h
+++ b/libs/instance/job_runner.h
@@ -4,8 +4,10 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "instance/endpoint_verifier.h"
 #include "instance/instance_context.h"
 #include "instance/job_store.h"
 #include "jobs/event_reader.h"
@@ -18,7 +20,8 @@
 /// store. Stops when the job has ended or another member runs it.
 class job_runner {
 public:
-  job_runner(instance_context& context, job_store& store, loaded_job loaded);
+  job_runner(instance_context& context, job_store& store, endpoint_verifier& verifier,
+             loaded_job loaded);
   ~job_runner();
   job_runner(const job_runner&) = delete;
   job_runner& operator=(const job_runner&) = delete;
@@ -44,17 +47,30 @@
   [[nodiscard]] std::size_t running() const { return run_.running(); }
 
 private:
+  /// What has arrived of a run that continues a text and whose process is not verified yet.
+  struct unverified_run {
+    std::string data;
+    /// Outcome and response, if the run has ended.
+    std::optional<std::pair<http1::call_outcome, http1::response>> end;
+  };
+  struct text_verification {
+    std::vector<std::size_t> waiting;
+    std::vector<std::size_t> in_progress;
+  };
   /// A run or a reward call in progress.
   struct active_call {
     std::size_t item = 0;
     std::string endpoint;
     dispatch::endpoint_process process{};
+    /// See `endpoint_entry::software`.
+    std::string software{};
     std::shared_ptr<http1::call> call;
     jobs::event_reader reader;
     bool accepted = false;
     bool rejected = false;
     jobs::run_outcome rejection = jobs::run_outcome::broken;
     time_point sent_at{};
+    std::optional<unverified_run> unverified{};
   };
   /// Results that are being written to the store. Their positions do not change until the outcome
   /// of the write is known.
@@ -74,8 +90,16 @@
   start_result start_item(std::size_t n, time_point now);
   /// The service of a route that is to run an item: that of its text, if it has one.
   [[nodiscard]] std::string service_for(const dispatch::route& route, std::size_t n);
+  /// Finds out whether a text comes from its software, so that it can be continued.
+  void verify_text(std::size_t n, const jobs::text_source& source, time_point now);
+  void start_verification(const jobs::text_source& source);
+  void on_text_verified(const jobs::text_source& source, process_verdict verdict);
+  /// Finds out whether the process that continues a text runs its software.
+  void verify_run(const std::shared_ptr<active_call>& it);
+  void on_run_verified(const std::shared_ptr<active_call>& it, process_verdict verdict);
+  void discard_text(std::size_t n, std::string_view reason);
   bool start_reward(std::size_t n, time_point now);
-  bool on_head(active_call& it, const http1::response& head);
+  bool on_head(const std::shared_ptr<active_call>& it, const http1::response& head);
   void on_data(active_call& it, std::string_view data);
   void on_end(const std::shared_ptr<active_call>& it, http1::call_outcome outcome,
               const http1::response& response);
@@ -97,9 +121,12 @@
 
   instance_context& context_;
   job_store& store_;
+  endpoint_verifier& verifier_;
   jobs::job_run run_;
   std::map<std::size_t, std::shared_ptr<active_call>> runs_;
   std::map<std::size_t, std::shared_ptr<active_call>> rewards_;
+  /// Verifications of texts by their process. Items whose runs end during one wait for the next.
+  std::map<jobs::text_source, text_verification> verifications_;
   std::unique_ptr<chunk> chunk_;
   jobs::listed_results listed_;
   time_point next_listing_{};
--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -38,8 +38,9 @@
   std::function<void(submit_outcome)> done;
 };
 
-job_service::job_service(instance_context& context, member_task& members)
-    : context_(context), members_(members), store_(context),
+job_service::job_service(instance_context& context, member_task& members,
+                         endpoint_verifier& verifier)
+    : context_(context), members_(members), verifier_(verifier), store_(context),
       peer_(context.loop, members,
             {.read =
                  [this](const std::string& job, std::size_t after, duration wait,
@@ -419,7 +420,7 @@
     for (jobs::item_progress& text : partial_texts_.take(loaded.contents, context_.loop.now())) {
       loaded.progress.push_back(std::move(text));
     }
-    it->second = std::make_unique<job_runner>(context_, store_, std::move(loaded));
+    it->second = std::make_unique<job_runner>(context_, store_, verifier_, std::move(loaded));
     it->second->advance(context_.loop.now());
   }
 }
--- a/libs/instance/job_service.h
+++ b/libs/instance/job_service.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/result.h"
+#include "instance/endpoint_verifier.h"
 #include "instance/instance_context.h"
 #include "instance/job_peer.h"
 #include "instance/job_runner.h"
@@ -23,7 +24,7 @@
 /// job; one member runs it.
 class job_service {
 public:
-  job_service(instance_context& context, member_task& members);
+  job_service(instance_context& context, member_task& members, endpoint_verifier& verifier);
   ~job_service() { *alive_ = false; }
   job_service(const job_service&) = delete;
   job_service& operator=(const job_service&) = delete;
@@ -106,6 +107,7 @@
 
   instance_context& context_;
   member_task& members_;
+  endpoint_verifier& verifier_;
   job_store store_;
   job_peer peer_;
   std::map<std::string, std::unique_ptr<job_runner>, std::less<>> runners_;
--- a/libs/jobs/job_documents.cpp
+++ b/libs/jobs/job_documents.cpp
@@ -213,6 +213,10 @@
                    {"last_event", it.last_event},
                    {"versions", it.versions},
                    {"software", it.software}});
+    if (it.unverified) {
+      out.back()["endpoint"] = it.unverified->endpoint;
+      out.back()["process_start_ms"] = it.unverified->process_start_ms;
+    }
   }
   return to_cbor(out);
 }
@@ -234,6 +238,11 @@
     }
     // Documents of earlier releases do not name the software. `job_run` ignores such texts.
     read_field(from, "software", it.software);
+    // Nor do they name the process, as if it were verified.
+    if (text_source source; read_field(from, "endpoint", source.endpoint)) {
+      source.process_start_ms = integer_field(from, "process_start_ms").value_or(0);
+      it.unverified = std::move(source);
+    }
     list.push_back(std::move(it));
   }
   return list;
--- a/libs/jobs/job_run.cpp
+++ b/libs/jobs/job_run.cpp
@@ -43,6 +43,7 @@
     restored.last_event = it.last_event;
     restored.versions = {it.versions.begin(), it.versions.end()};
     restored.software = it.software;
+    restored.unverified = it.unverified;
   }
   rank_items();
 }
@@ -119,14 +120,22 @@
   it.last_event.reset();
   it.versions.clear();
   it.software.clear();
+  it.unverified.reset();
   it.waiting_since.reset();
 }
 
+void job_run::refute_text(std::size_t n, time_point now) {
+  discard_text(items_[n]);
+  items_[n].not_before = now;
+}
+
 void job_run::started(std::size_t n, const run_target& target, time_point now) {
   tracked_item& it = items_[n];
   it.current_phase = phase::running;
   it.endpoint = target.endpoint;
   it.run_software = target.software;
+  it.run_source = {std::string(target.endpoint), target.process_start_ms};
+  it.run_verified = false;
   it.waiting_since.reset();
   it.run_version = 0;
   it.run_events = 0;
@@ -155,6 +164,9 @@
   } else if (it.software != it.run_software) {
     return false;
   }
+  if (!it.run_verified) {
+    it.unverified = it.run_source;
+  }
   if (it.has_text) {
     it.text += '\n';
   }
@@ -441,7 +453,8 @@
                     it->text,
                     *it->last_event,
                     {it->versions.begin(), it->versions.end()},
-                    it->software});
+                    it->software,
+                    it->unverified});
   }
   return list;
 }
--- a/libs/jobs/job_run.h
+++ b/libs/jobs/job_run.h
@@ -42,6 +42,8 @@
 struct run_target {
   std::string_view endpoint;
   std::string_view software;
+  /// See `text_source::process_start_ms`.
+  std::int64_t process_start_ms = 0;
 };
 
 struct job_run_options {
@@ -99,6 +101,17 @@
   [[nodiscard]] std::optional<std::uint64_t> last_event(std::size_t n) const;
   /// Software that must continue the item's text; empty if there is no text yet.
   [[nodiscard]] std::string_view software(std::size_t n) const { return items_[n].software; }
+  /// Process that generated the last part of the item's text, if it is not certain that it ran
+  /// `software`. Such a text must not be continued.
+  [[nodiscard]] const std::optional<text_source>& unverified_source(std::size_t n) const {
+    return items_[n].unverified;
+  }
+  /// Records that the text comes from `software`.
+  void confirm_text(std::size_t n) { items_[n].unverified.reset(); }
+  /// Discards the text because it may come from other software.
+  void refute_text(std::size_t n, time_point now);
+  /// Keeps the item from being started before a time.
+  void hold(std::size_t n, time_point until) { items_[n].not_before = until; }
   /// Records that no endpoint can continue the item's text now. Discards the text if none is `left`
   /// that could, or if it has waited as long as generating it again takes; otherwise the item is
   /// tried again later. Returns whether the text was discarded.
@@ -109,6 +122,8 @@
   [[nodiscard]] std::span<const std::string> avoided_endpoints(std::size_t n) const;
 
   void started(std::size_t n, const run_target& target, time_point now);
+  /// Records that the process of the run in progress runs the software of its target.
+  void confirm_run(std::size_t n) { items_[n].run_verified = true; }
   /// Sets the weight version of the run in progress, as reported by the endpoint. Returns false if
   /// the job does not accept the version; the caller must then end the run with `stale_weights`.
   bool accept_version(std::size_t n, std::uint64_t version);
@@ -171,6 +186,10 @@
     /// Software that generated the text, and that of the run in progress.
     std::string software;
     std::string run_software;
+    /// See `unverified_source`, and the process of the run in progress.
+    std::optional<text_source> unverified;
+    text_source run_source;
+    bool run_verified = false;
     /// When the text first could not be continued since the last run.
     std::optional<time_point> waiting_since;
     /// Weight version of the run in progress; 0 until the response headers have arrived.
--- a/tests/jobs/job_run_test.cpp
+++ b/tests/jobs/job_run_test.cpp
@@ -440,6 +440,37 @@
       CHECK(list.at(0).text == "n");
       CHECK(list.at(0).versions == std::vector<std::uint64_t>{5});
     }
+    SECTION("it names the process that generated its last part until that is verified") {
+      run.started(0, {"e1", "s/v1", 7}, start);
+      REQUIRE(run.accept_version(0, 4));
+      CHECK_FALSE(run.unverified_source(0) == text_source{"e1", 7});
+      REQUIRE(run.append_event(0, make_event(31, "t"), start));
+      CHECK(run.unverified_source(0) == text_source{"e1", 7});
+      run.ended(0, run_outcome::broken, start);
+      const auto kept = run.progress(100'000);
+      REQUIRE(kept.size() == 1);
+      const job_run successor(make_job(1, 2), {}, start, kept);
+      CHECK(successor.unverified_source(0) == text_source{"e1", 7});
+
+      SECTION("then it goes on, and a verified process leaves it verified") {
+        run.confirm_text(0);
+        CHECK_FALSE(run.unverified_source(0));
+        run.started(0, {"e2", "s/v1", 9}, start);
+        run.confirm_run(0);
+        REQUIRE(run.accept_version(0, 4));
+        REQUIRE(run.append_event(0, make_event(32, "t"), start));
+        CHECK_FALSE(run.unverified_source(0));
+        CHECK_FALSE(run.progress(100'000).at(0).unverified);
+      }
+      SECTION("or it is discarded and starts again at once") {
+        run.refute_text(0, start);
+        CHECK_FALSE(run.last_event(0));
+        CHECK_FALSE(run.unverified_source(0));
+        CHECK(run.software(0).empty());
+        run.started(1, {"e2", "s/v2"}, start);
+        CHECK(run.next_item(start) == 0);
+      }
+    }
     SECTION("saved texts keep their software, and those without any are not used") {
       auto kept = run.progress(100'000);
       REQUIRE(kept.size() == 1);
--- a/tests/platform/text_version_test.cpp
+++ b/tests/platform/text_version_test.cpp
@@ -63,4 +63,80 @@
   }
 }
 
+// Guards against texts that are joined from two software versions by an instance that was cut off
+// or stood still while an endpoint was started again under its id with another version.
+TEST_CASE("an instance that does not know an endpoint's new process does not join texts") {
+  platform_fixture it;
+  it.start("second", it.second);
+  it.engine = it.make_engine("e-1", "v1", interval, events);
+  /// Replaces the process and leaves the first instance with its former entry.
+  const auto restart_behind_first = [&] {
+    dispatch::service_endpoints& table = it.first->context().endpoints;
+    const dispatch::endpoint_entry former = *table.find("e-1");
+    it.engine->restart_with_same_id("v2");
+    for (serving_process* at : {it.first.get(), it.second.get()}) {
+      REQUIRE(it.loop->run_until(
+          [&] { return at->context().endpoints.find("e-1")->software == "models/v2"; },
+          wait_limit));
+    }
+    table.put(former);
+  };
+  const auto submit = [&] {
+    REQUIRE(it.call(*it.first, "POST", "/jobs/j1", to_text(make_job()), "key-n", "j1").status ==
+            202);
+  };
+  // The job runs at the first instance, whichever its step is assigned to.
+  it.second->members().drain();
+  REQUIRE(it.loop->run_until(
+      [&] {
+        return it.first->members().members().oldest()->instance == "first" &&
+               it.first->members().members().candidates_for("x").size() == 1;
+      },
+      wait_limit));
+  std::unique_ptr<replica_stand_in> older;
+
+  SECTION("when it goes on there") {
+    older = it.make_engine("e-2", "v1", interval, events);
+    // The texts begin at the other endpoint.
+    it.engine->full = true;
+    submit();
+    REQUIRE(it.loop->run_until([&] { return older->open() == 4; }, wait_limit));
+    it.loop->run_until([] { return false; }, early_events * interval);
+    it.engine->full = false;
+    restart_behind_first();
+    older->crash();
+    it.loop->run_until([] { return false; }, seconds(1));
+    // At last the instance learns of the process.
+    it.engine->announce();
+  }
+  SECTION("when it began there") {
+    restart_behind_first();
+    submit();
+    REQUIRE(it.loop->run_until([&] { return it.engine->open() == 4; }, wait_limit));
+    it.loop->run_until([] { return false; }, early_events * interval);
+    older = it.make_engine("e-2", "v1", interval, events);
+    SECTION("and goes on at the same instance") {
+      it.engine->crash();
+    }
+    SECTION("and goes on at another one, from saved texts") {
+      REQUIRE(
+          it.loop->run_until([&] { return it.store.has("boragedoor/progress/j1"); }, wait_limit));
+      it.first.reset();
+      it.second.reset();
+      it.start("second", it.second);
+      REQUIRE(it.loop->run_until(
+          [&] { return it.second->context().endpoints.find("e-2") != nullptr; }, wait_limit));
+      it.engine->crash();
+    }
+  }
+  const serving_process& reader = it.first ? *it.first : *it.second;
+  const auto results = it.read_all(reader, "j1");
+  REQUIRE(results.size() == 4);
+  for (const auto& [id, result] : results) {
+    CAPTURE(id, result.dump());
+    CHECK(result["state"] == "done");
+    CHECK(is_of_one_version(result["output"].get<std::string>()));
+  }
+}
+
 } // namespace boragedoor::platform
