--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -265,7 +265,8 @@
     }
   }
   if (run_.last_event(it->item)) {
-    verify_run(it);
+    it->unverified.emplace();
+    verify_process(it, [this, it](process_verdict verdict) { on_run_verified(it, verdict); });
   }
   return true;
 }
@@ -335,13 +336,13 @@
                   {{"job", run_.contents().id}, {"reason", reason}});
 }
 
-void job_runner::verify_run(const std::shared_ptr<active_call>& it) {
-  it->unverified.emplace();
+void job_runner::verify_process(const std::shared_ptr<active_call>& it,
+                                std::function<void(process_verdict)> done) {
   verifier_.verify({it->process, it->software},
-                   [this, alive = alive_, it](process_verdict verdict) {
+                   [this, alive = alive_, it, done = std::move(done)](process_verdict verdict) {
                      const auto found = *alive ? runs_.find(it->item) : runs_.end();
                      if (*alive && found != runs_.end() && found->second == it) {
-                       on_run_verified(it, verdict);
+                       done(verdict);
                      }
                    });
 }
@@ -540,6 +541,10 @@
     const auto other = own ? alternative_endpoint(n, current, now) : std::nullopt;
     const auto faster = other ? context_.endpoints.event_interval(other->id) : std::nullopt;
     if (faster && *faster < *own * max_interval_ratio) {
+      if (run_.unverified_source(n)) {
+        prepare_move(found->second);
+        return;
+      }
       cancel_run(n, jobs::run_outcome::moved, "faster_engine");
       // The slot is taken only when the item is restarted, right after this function. Moving one
       // item at a time prevents two items from being moved to the same slot.
@@ -548,6 +553,19 @@
   }
 }
 
+void job_runner::prepare_move(const std::shared_ptr<active_call>& it) {
+  if (std::exchange(it->move_prepared, true)) {
+    return;
+  }
+  verify_process(it, [this, it](process_verdict verdict) {
+    if (verdict == process_verdict::confirmed) {
+      run_.confirm_run(it->item);
+      move_to_faster_engines(context_.loop.now());
+      start_ready(context_.loop.now());
+    }
+  });
+}
+
 bool job_runner::start_reward(std::size_t n, time_point now) {
   const jobs::reward_call& call = *run_.item(n).reward;
   const dispatch::route* route = context_.routes.find(call.host, call.path);
--- a/libs/instance/job_runner.h
+++ b/libs/instance/job_runner.h
@@ -71,6 +71,8 @@
     jobs::run_outcome rejection = jobs::run_outcome::broken;
     time_point sent_at{};
     std::optional<unverified_run> unverified{};
+    /// Whether the process of a run that is to be moved was asked for.
+    bool move_prepared = false;
   };
   /// Results that are being written to the store. Their positions do not change until the outcome
   /// of the write is known.
@@ -94,8 +96,10 @@
   void verify_text(std::size_t n, const jobs::text_source& source, time_point now);
   void start_verification(const jobs::text_source& source);
   void on_text_verified(const jobs::text_source& source, process_verdict verdict);
-  /// Finds out whether the process that continues a text runs its software.
-  void verify_run(const std::shared_ptr<active_call>& it);
+  /// Finds out whether the process of a run runs its software. `done` is not called once the run
+  /// has ended.
+  void verify_process(const std::shared_ptr<active_call>& it,
+                      std::function<void(process_verdict)> done);
   void on_run_verified(const std::shared_ptr<active_call>& it, process_verdict verdict);
   void discard_text(std::size_t n, std::string_view reason);
   bool start_reward(std::size_t n, time_point now);
@@ -111,6 +115,9 @@
                   std::optional<routing::health_signal> signal, std::string_view reason);
   void move_slow_runs(time_point now);
   void move_to_faster_engines(time_point now);
+  /// Verifies the process of a run in progress, so that its text can be continued as soon as the
+  /// run is cancelled and the free slot that it is moved to is taken at once.
+  void prepare_move(const std::shared_ptr<active_call>& it);
   /// An endpoint other than `current` that has a free slot and can continue the item.
   [[nodiscard]] std::optional<dispatch::chosen_endpoint>
   alternative_endpoint(std::size_t n, const std::string& current, time_point now);
--- a/libs/jobs/job_run.h
+++ b/libs/jobs/job_run.h
@@ -123,7 +123,10 @@
 
   void started(std::size_t n, const run_target& target, time_point now);
   /// Records that the process of the run in progress runs the software of its target.
-  void confirm_run(std::size_t n) { items_[n].run_verified = true; }
+  void confirm_run(std::size_t n) {
+    items_[n].run_verified = true;
+    items_[n].unverified.reset();
+  }
   /// Sets the weight version of the run in progress, as reported by the endpoint. Returns false if
   /// the job does not accept the version; the caller must then end the run with `stale_weights`.
   bool accept_version(std::size_t n, std::uint64_t version);
