Let another instance run the jobs that a stopping one accepts

A trainer's step could wait for its start until the instance that had accepted it was gone, up to 9 s, although others were idle.

Cause: the hand-over covered only the jobs with a runner in memory; one that was stored afterwards, because the member of its step did not answer, or that was being loaded, named the stopping instance.

Change: all jobs whose record names this instance are handed over, and one that is stored later names its successor, which loads it when it sees the record.

platform_stop_test "a job that a stopping process accepts is to be run by another one" failed before ("first/boot" == "other/boot") and passes now.

--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -72,21 +72,36 @@
   stopped_ = true;
   for (const auto& [job, it] : runners_) {
     it->stop();
-    const stored_record* known = store_.find(job);
+  }
+  for (const auto& [job, known] : store_.records()) {
+    if (known.record.ended || known.record.runner != context_.identity.member_id() ||
+        finished_.contains(job)) {
+      continue;
+    }
     const duties::member* successor = members_.members().assigned_member(job);
-    if (known == nullptr || successor == nullptr) {
+    if (successor == nullptr) {
       continue;
     }
-    // The successor continues the saved partial texts. If this handover fails, the successor takes
-    // the job over when it detects that this member is gone.
-    store_.save_progress(*known, it->progress(), [this, old = *known, successor = successor->id] {
+    const auto change_runner = [this, old = known, successor = successor->id] {
       jobs::job_record next = old.record;
       next.runner = successor;
       store_.replace_record(old, std::move(next), [](const result<stored_record>&) {});
-    });
+    };
+    // The successor continues the saved partial texts. If this handover fails, the successor takes
+    // the job over when it detects that this member is gone.
+    if (const auto own = runners_.find(job); own != runners_.end()) {
+      store_.save_progress(known, own->second->progress(), change_runner);
+    } else {
+      change_runner();
+    }
   }
 }
 
+std::string job_service::runner_for_new(const std::string& job) const {
+  const duties::member* successor = stopped_ ? members_.members().assigned_member(job) : nullptr;
+  return successor == nullptr ? context_.identity.member_id() : successor->id;
+}
+
 int job_service::open_items() const {
   const wall_time wall = context_.stable_wall_now();
   std::size_t n = 0;
@@ -131,7 +146,7 @@
   entry->record = {.id = job.id,
                    .workspace = job.workspace,
                    .total = job.items.size(),
-                   .runner = context_.identity.member_id(),
+                   .runner = runner_for_new(job.id),
                    .ended = false,
                    .submitted = job.submitted};
   entry->contents = std::move(job);
--- a/libs/instance/job_service.h
+++ b/libs/instance/job_service.h
@@ -71,6 +71,9 @@
     std::function<void(std::optional<job_listing>)> done;
   };
 
+  /// The member that runs a job that is stored from here: this one, unless it has handed its jobs
+  /// over.
+  [[nodiscard]] std::string runner_for_new(const std::string& job) const;
   /// Submits a job with this member as its runner. `may_exist` is true if an earlier attempt may
   /// have stored the job.
   void submit_here(jobs::job job, bool may_exist, std::function<void(submit_outcome)> done);
--- a/tests/platform/stop_test.cpp
+++ b/tests/platform/stop_test.cpp
@@ -1,6 +1,8 @@
 #include <chrono>
 
+#include "duties/member_table.h"
 #include "http1/raw_peer.h"
+#include "jobs/job_documents.h"
 #include "platform_fixture.h"
 
 namespace boragedoor::platform {
@@ -314,4 +316,38 @@
   CHECK(reported() == run);
 }
 
+// Guards against jobs that are accepted in the name of an instance that runs no jobs any more: they
+// would wait until it has ended and another one takes them over.
+TEST_CASE("a job that a stopping process accepts is to be run by another one") {
+  stop_fixture it;
+  it.start_engine();
+  // The only other member takes no calls.
+  const duties::member other{.id = "other/boot",
+                             .instance = "other",
+                             .data_centre = "z1",
+                             .region = "r1",
+                             .address = "127.0.0.1:1",
+                             .relay = "127.0.0.1:1",
+                             .processor = 1};
+  bool entered = false;
+  it.first->context().store.commit(
+      {.expected = {},
+       .puts = {{"boragedoor/members/other/boot", duties::to_document(other), 0}},
+       .removed = {}},
+      [&](const instance::commit_answer& answer) {
+        entered = answer.status == instance::store_status::ok;
+      });
+  REQUIRE(it.loop->run_until(
+      [&] { return entered && it.first->members().members().all().size() == 2; }, wait_limit));
+  it.stop();
+  it.wait_until(milliseconds(500));
+  CHECK(it.call(*it.first, "POST", "/jobs/j1", to_text(make_job()), "key-n", "j1").status == 202);
+  std::optional<jobs::job_record> record;
+  it.first->context().store.read(jobs::record_key("j1"), [&](const instance::read_answer& answer) {
+    record = jobs::record_from_document(answer.item.value).value();
+  });
+  REQUIRE(it.loop->run_until([&] { return record.has_value(); }, wait_limit));
+  CHECK(record->runner == "other/boot");
+}
+
 } // namespace boragedoor::platform
