Keep the queue of text verifications in a class of its own

job_runner held the items that wait for the verification of a process, the calls and their results beside the runs. text_verification now has them; job_runner decides what a verdict means for an item. No change of behaviour: platform_text_version_test passes.

--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -58,6 +58,9 @@
                        loaded_job loaded)
     : context_(context), store_(store), verifier_(verifier),
       run_(std::move(loaded.contents), loaded.listed, context.loop.now(), loaded.progress),
+      texts_(context.loop, verifier,
+             [this](const jobs::text_source& source, std::span<const std::size_t> items,
+                    process_verdict verdict) { on_text_verified(source, items, verdict); }),
       listed_(loaded.listed.size(), max_cached_bytes),
       next_save_(context.loop.now() + save_interval) {}
 
@@ -177,7 +180,8 @@
     return start_result::no_endpoint;
   }
   if (const auto& source = run_.unverified_source(n)) {
-    verify_text(n, *source, now);
+    run_.hold(n, now + verification_limit);
+    texts_.add(n, *source, run_.software(n));
     return start_result::postponed;
   }
   const std::string service = service_for(*route, n);
@@ -271,41 +275,12 @@
   return true;
 }
 
-void job_runner::verify_text(std::size_t n, const jobs::text_source& source, time_point now) {
-  run_.hold(n, now + verification_limit);
-  text_verification& it = verifications_[source];
-  const bool scheduled = !it.waiting.empty() || !it.in_progress.empty();
-  it.waiting.push_back(n);
-  if (!scheduled) {
-    // Later, so that one call serves all runs that an endpoint's crash has ended.
-    context_.loop.post([this, alive = alive_, source] {
-      if (*alive && !stopped_) {
-        start_verification(source);
-      }
-    });
+void job_runner::on_text_verified(const jobs::text_source& source,
+                                  std::span<const std::size_t> items, process_verdict verdict) {
+  if (stopped_) {
+    return;
   }
-}
-
-void job_runner::start_verification(const jobs::text_source& source) {
-  text_verification& it = verifications_[source];
-  it.in_progress = std::exchange(it.waiting, {});
-  verifier_.verify_registered({{source.endpoint, source.process_start_ms},
-                               std::string(run_.software(it.in_progress.front()))},
-                              [this, alive = alive_, source](process_verdict verdict) {
-                                if (*alive && !stopped_) {
-                                  on_text_verified(source, verdict);
-                                }
-                              });
-}
-
-void job_runner::on_text_verified(const jobs::text_source& source, process_verdict verdict) {
   const time_point now = context_.loop.now();
-  const auto items = std::exchange(verifications_[source].in_progress, {});
-  if (verifications_[source].waiting.empty()) {
-    verifications_.erase(source);
-  } else {
-    start_verification(source);
-  }
   for (const std::size_t n : items) {
     if (run_.unverified_source(n) != source) {
       continue;
--- a/libs/instance/job_runner.h
+++ b/libs/instance/job_runner.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -10,6 +11,7 @@
 #include "instance/endpoint_verifier.h"
 #include "instance/instance_context.h"
 #include "instance/job_store.h"
+#include "instance/text_verification.h"
 #include "jobs/event_reader.h"
 #include "jobs/job_run.h"
 #include "jobs/listed_results.h"
@@ -53,10 +55,6 @@
     /// Outcome and response, if the run has ended.
     std::optional<std::pair<http1::call_outcome, http1::response>> end;
   };
-  struct text_verification {
-    std::vector<std::size_t> waiting;
-    std::vector<std::size_t> in_progress;
-  };
   /// A run or a reward call in progress.
   struct active_call {
     std::size_t item = 0;
@@ -92,10 +90,10 @@
   start_result start_item(std::size_t n, time_point now);
   /// The service of a route that is to run an item: that of its text, if it has one.
   [[nodiscard]] std::string service_for(const dispatch::route& route, std::size_t n);
-  /// Finds out whether a text comes from its software, so that it can be continued.
-  void verify_text(std::size_t n, const jobs::text_source& source, time_point now);
-  void start_verification(const jobs::text_source& source);
-  void on_text_verified(const jobs::text_source& source, process_verdict verdict);
+  /// Continues texts whose process was verified, and discards those that may come from other
+  /// software.
+  void on_text_verified(const jobs::text_source& source, std::span<const std::size_t> items,
+                        process_verdict verdict);
   /// Finds out whether the process of a run runs its software. `done` is not called once the run
   /// has ended.
   void verify_process(const std::shared_ptr<active_call>& it,
@@ -132,8 +130,7 @@
   jobs::job_run run_;
   std::map<std::size_t, std::shared_ptr<active_call>> runs_;
   std::map<std::size_t, std::shared_ptr<active_call>> rewards_;
-  /// Verifications of texts by their process. Items whose runs end during one wait for the next.
-  std::map<jobs::text_source, text_verification> verifications_;
+  text_verification texts_;
   std::unique_ptr<chunk> chunk_;
   jobs::listed_results listed_;
   time_point next_listing_{};
