--- a/tests/platform/stop_test.cpp
+++ b/tests/platform/stop_test.cpp
@@ -216,8 +216,9 @@
     }
     it.end_process();
     for (const auto& [id, from] : late) {
-      REQUIRE(it.loop->run_until([&] { return from->closed_by_peer; }, wait_limit));
-      CHECK((!it.has_run(id) || from->received.find("HTTP/1.1 ") != std::string::npos));
+      const auto& connection = *from;
+      REQUIRE(it.loop->run_until([&] { return connection.closed_by_peer; }, wait_limit));
+      CHECK((!it.has_run(id) || connection.received.find("HTTP/1.1 ") != std::string::npos));
     }
   }
 
