--- a/libs/daemon/admin_gateway.cpp
+++ b/libs/daemon/admin_gateway.cpp
@@ -211,8 +211,7 @@
                 [this, all, row, asked](const peer_reply& reply) mutable {
                   if (reply.answer && reply.answer->is_object()) {
                     row.update(*reply.answer);
-                    row["age_ms"] =
-                        std::chrono::duration_cast<milliseconds>(context_.now() - asked).count();
+                    row["age_ms"] = to_milliseconds(context_.now() - asked);
                   } else {
                     row["state"] = reply.refused ? "down" : "unreachable";
                   }
--- a/libs/duties/member_table.cpp
+++ b/libs/duties/member_table.cpp
@@ -141,7 +141,7 @@
 }
 
 bool member_table::has_older_member(std::int64_t started_ms, duration min_age) const {
-  const auto age_ms = std::chrono::duration_cast<milliseconds>(min_age).count();
+  const auto age_ms = to_milliseconds(min_age);
   return std::any_of(by_key_.begin(), by_key_.end(), [&](const auto& it) {
     return it.second.started_ms != 0 && it.second.started_ms + age_ms <= started_ms;
   });
--- a/libs/events/explain.cpp
+++ b/libs/events/explain.cpp
@@ -11,7 +11,7 @@
 using enum event_number;
 
 std::string format_duration(duration it) {
-  return std::to_string(std::chrono::duration_cast<milliseconds>(it).count()) + " ms";
+  return std::to_string(to_milliseconds(it)) + " ms";
 }
 
 /// Details as "; name=value", so that a reason given by the daemon is not lost.
--- a/libs/instance/job_peer.cpp
+++ b/libs/instance/job_peer.cpp
@@ -113,7 +113,7 @@
   send(member,
        {"GET",
         fmt::format("{}?job={}&after={}&wait_ms={}", read_path, net::encode_component(job), after,
-                    std::chrono::duration_cast<milliseconds>(wait).count()),
+                    to_milliseconds(wait)),
         {},
         {}},
        wait + read_margin,
--- a/libs/instance/shared_store.cpp
+++ b/libs/instance/shared_store.cpp
@@ -202,8 +202,7 @@
   }
   const duration limit = std::min(wait, source_watch_wait);
   call_source(fmt::format("{}?prefix={}&after={}&wait_ms={}", watch_path,
-                          net::encode_component(prefix), after,
-                          std::chrono::duration_cast<milliseconds>(limit).count()),
+                          net::encode_component(prefix), after, to_milliseconds(limit)),
               limit,
               [this, entry, prefix, after, wait,
                done = std::move(done)](const std::optional<std::string>& message) {
--- a/libs/standin/trainer_client.cpp
+++ b/libs/standin/trainer_client.cpp
@@ -104,8 +104,7 @@
 
 void trainer_client::pull(bool wait) {
   const std::int64_t after = repeating_ > 0 ? repeating_ - 1 : checks_.last_batch();
-  const auto wait_ms =
-      wait ? std::chrono::duration_cast<milliseconds>(options_.wait).count() : std::int64_t{0};
+  const auto wait_ms = wait ? to_milliseconds(options_.wait) : std::int64_t{0};
   send({{},
         "GET",
         step_path() + "/batches?after=" + std::to_string(after) +
--- a/libs/store/store_client.cpp
+++ b/libs/store/store_client.cpp
@@ -144,7 +144,7 @@
 
 void store_client::watch(const std::string& prefix, std::uint64_t after, duration wait,
                          std::function<void(result<listing>)> done) {
-  const auto wait_ms = std::chrono::duration_cast<milliseconds>(wait).count();
+  const auto wait_ms = to_milliseconds(wait);
   call("watch", "GET",
        "/watch?prefix=" + net::encode_component(prefix) + "&after=" + std::to_string(after) +
            "&timeout_ms=" + std::to_string(wait_ms),
@@ -226,7 +226,7 @@
 }
 
 void store_client::create_lease(duration ttl, std::function<void(result<std::string>)> done) {
-  const json body = {{"ttl_ms", std::chrono::duration_cast<milliseconds>(ttl).count()}};
+  const json body = {{"ttl_ms", to_milliseconds(ttl)}};
   call("lease_create", "POST", "/lease", to_text(body), call_timeout,
        [done = std::move(done)](const result<net::http_reply>& reply, bool /*nothing_sent*/) {
          if (!reply) {
