Share what the tests of stops and software versions repeat

The restart of an engine behind an instance's back, the check of a job's texts, the headers of a caller's request and the exchange of one raw message stood twice or more. They are in the fixture, or in one function. All assertions are kept; the stream test's wait for the entry now holds for texts too.

--- a/tests/platform/cut_off_test.cpp
+++ b/tests/platform/cut_off_test.cpp
@@ -109,23 +109,17 @@
         }
       }
       SECTION("and does not take a caller's headers for those of an instance") {
-        http1::call_spec spec;
-        spec.target = it.first->callers_address();
-        spec.message = {"POST",
-                        "/plans/7",
-                        {{"Host", "a.example"},
-                         {"Attempt-Id", "h1"},
-                         {"Authorization", "Bearer key-n"},
-                         {"Boragedoor-Endpoint", "e-1"},
-                         {"Boragedoor-Check", "1"}},
-                        "body"};
-        std::optional<http1::response> answer;
-        http1::call_callbacks callbacks;
-        callbacks.on_end = [&](http1::call_outcome, const http1::response& out) { answer = out; };
-        it.caller.send(std::move(spec), std::move(callbacks));
-        REQUIRE(it.loop->run_until([&] { return answer.has_value(); }, wait_limit));
-        CHECK(answer->status == 200);
-        CHECK(answer->body == "answer to h1");
+        const auto answer =
+            it.exchange(it.first->callers_address(), {"POST",
+                                                      "/plans/7",
+                                                      {{"Host", "a.example"},
+                                                       {"Attempt-Id", "h1"},
+                                                       {"Authorization", "Bearer key-n"},
+                                                       {"Boragedoor-Endpoint", "e-1"},
+                                                       {"Boragedoor-Check", "1"}},
+                                                      "body"});
+        CHECK(answer.status == 200);
+        CHECK(answer.body == "answer to h1");
       }
       SECTION("and ends the run of a caller that leaves") {
         it.engine = it.make_engine("e-2", "v1", milliseconds(20), 1000);
@@ -198,22 +192,15 @@
   it.second->drain();
 
   SECTION("and takes no further ones") {
-    http1::call_spec spec;
-    spec.target = it.second->relay_address();
-    spec.message = {"POST",
-                    "/plans/7",
-                    {{"Host", "a.example"},
-                     {"Attempt-Id", "late"},
-                     {"Boragedoor-Endpoint", "p-1"},
-                     {"Boragedoor-Attempt", "late"}},
-                    "body"};
-    std::optional<http1::response> answer;
-    http1::call_callbacks callbacks;
-    callbacks.on_end = [&](http1::call_outcome, const http1::response& out) { answer = out; };
-    it.caller.send(std::move(spec), std::move(callbacks));
-    REQUIRE(it.loop->run_until([&] { return answer.has_value(); }, wait_limit));
+    const auto answer = it.exchange(it.second->relay_address(), {"POST",
+                                                                 "/plans/7",
+                                                                 {{"Host", "a.example"},
+                                                                  {"Attempt-Id", "late"},
+                                                                  {"Boragedoor-Endpoint", "p-1"},
+                                                                  {"Boragedoor-Attempt", "late"}},
+                                                                 "body"});
     // The other instance tries the next one.
-    CHECK(net::find_header(answer->headers, "Boragedoor-Outcome") == "cut_off");
+    CHECK(net::find_header(answer.headers, "Boragedoor-Outcome") == "cut_off");
     CHECK(it.executions("late") == 0);
   }
 
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -110,6 +110,19 @@
   return {{"step", 0}, {"model", "m"}, {"min_version", 1}, {"desired", 2}, {"items", items}};
 }
 
+/// A caller's request.
+inline http1::request make_request(std::string method, std::string target, std::string id,
+                                   duration deadline, std::string body,
+                                   const std::string& key = "key-n") {
+  return {std::move(method),
+          std::move(target),
+          {{"Host", "a.example"},
+           {"Attempt-Id", std::move(id)},
+           {"Deadline-Ms", std::to_string(to_milliseconds(deadline))},
+           {"Authorization", "Bearer " + key}},
+          std::move(body)};
+}
+
 /// The platform's services with up to two instances and two replicas, on one event loop.
 struct platform_fixture {
   explicit platform_fixture(duration grace = seconds(8))
@@ -189,6 +202,34 @@
     return it;
   }
 
+  /// Starts the engine again under its id with other software, and leaves an instance with the
+  /// former entry. Returns when the instances have learned of the new process.
+  void restart_engine_behind(serving_process& unaware, const std::string& software) {
+    dispatch::service_endpoints& table = unaware.context().endpoints;
+    REQUIRE(loop->run_until([&] { return table.find("e-1") != nullptr; }, wait_limit));
+    const dispatch::endpoint_entry former = *table.find("e-1");
+    engine->restart_with_same_id(software);
+    for (serving_process* at : {first.get(), second.get()}) {
+      REQUIRE(loop->run_until(
+          [&] { return at->context().endpoints.find("e-1")->software == "models/" + software; },
+          wait_limit));
+    }
+    table.put(former);
+  }
+
+  /// Sends a message as it is and waits for the response.
+  http1::response exchange(const net::address& to, http1::request message) {
+    http1::call_spec spec;
+    spec.target = to;
+    spec.message = std::move(message);
+    std::optional<http1::response> out;
+    http1::call_callbacks callbacks;
+    callbacks.on_end = [&](http1::call_outcome, const http1::response& it) { out = it; };
+    caller.send(std::move(spec), std::move(callbacks));
+    REQUIRE(loop->run_until([&] { return out.has_value(); }, wait_limit));
+    return *out;
+  }
+
   /// Sends a request to an instance, on a connection of its own.
   std::shared_ptr<http1::call> send(const serving_process& to, std::string method,
                                     std::string target, std::string id,
@@ -196,13 +237,8 @@
                                     std::string body = {}, const std::string& key = "key-n") {
     http1::call_spec spec;
     spec.target = to.callers_address();
-    spec.message = {std::move(method),
-                    std::move(target),
-                    {{"Host", "a.example"},
-                     {"Attempt-Id", std::move(id)},
-                     {"Deadline-Ms", "5000"},
-                     {"Authorization", "Bearer " + key}},
-                    std::move(body)};
+    spec.message = make_request(std::move(method), std::move(target), std::move(id), seconds(5),
+                                std::move(body), key);
     spec.new_connection = true;
     http1::call_callbacks callbacks;
     callbacks.on_end = [done = std::move(done)](http1::call_outcome, const http1::response& it) {
--- a/tests/platform/stop_test.cpp
+++ b/tests/platform/stop_test.cpp
@@ -55,13 +55,7 @@
     auto out = std::make_shared<caller_result>();
     http1::call_spec spec;
     spec.target = callers_address;
-    spec.message = {method,
-                    target,
-                    {{"Host", "a.example"},
-                     {"Attempt-Id", id},
-                     {"Deadline-Ms", std::to_string(to_milliseconds(deadline))},
-                     {"Authorization", "Bearer key-n"}},
-                    body};
+    spec.message = make_request(method, target, id, deadline, body);
     spec.message.headers.insert(spec.message.headers.end(), more.begin(), more.end());
     spec.new_connection = true;
     spec.progress_timeout = wait_limit;
--- a/tests/platform/stream_version_test.cpp
+++ b/tests/platform/stream_version_test.cpp
@@ -27,13 +27,7 @@
   auto opened = std::make_shared<stream>();
   http1::call_spec spec;
   spec.target = at.callers_address();
-  spec.message = {"POST",
-                  "/chat/1",
-                  {{"Host", "a.example"},
-                   {"Attempt-Id", attempt},
-                   {"Deadline-Ms", "8000"},
-                   {"Authorization", "Bearer key-n"}},
-                  "prompt"};
+  spec.message = make_request("POST", "/chat/1", attempt, seconds(8), "prompt");
   if (after > 0) {
     spec.message.headers.emplace_back("Last-Event-Id", std::to_string(after));
   }
@@ -158,25 +152,12 @@
   const auto await_record = [&] {
     it.loop->run_until([&] { return !it.store.keys("boragedoor/streams/").empty(); }, storing_time);
   };
-  /// Replaces the process and leaves the second instance with its former entry.
-  const auto restart_behind_second = [&] {
-    dispatch::service_endpoints& table = it.second->context().endpoints;
-    REQUIRE(it.loop->run_until([&] { return table.find("e-1") != nullptr; }, wait_limit));
-    const dispatch::endpoint_entry former = *table.find("e-1");
-    it.engine->restart_with_same_id("v2");
-    for (serving_process* at : {it.first.get(), it.second.get()}) {
-      REQUIRE(it.loop->run_until(
-          [&] { return at->context().endpoints.find("e-1")->software == "models/v2"; },
-          wait_limit));
-    }
-    table.put(former);
-  };
 
   SECTION("when a stream is taken up there") {
     const auto begun = open_stream(it, *it.first, "s1");
     REQUIRE(has_begun(begun));
     await_record();
-    restart_behind_second();
+    it.restart_engine_behind(*it.second, "v2");
     const auto taken_up = open_stream(it, *it.second, "s2", 3, "s1");
     REQUIRE(it.loop->run_until([&] { return taken_up->ended; }, wait_limit));
     CHECK(taken_up->status == 502);
@@ -189,7 +170,7 @@
   }
 
   SECTION("when a stream began there") {
-    restart_behind_second();
+    it.restart_engine_behind(*it.second, "v2");
     const auto begun = open_stream(it, *it.second, "s1");
     REQUIRE(has_begun(begun));
     REQUIRE(begun->status == 200);
--- a/tests/platform/text_version_test.cpp
+++ b/tests/platform/text_version_test.cpp
@@ -22,6 +22,18 @@
   return lines == events && (newer == 0 || newer == lines);
 }
 
+/// Checks that all items of the job are done, each with a text of one version.
+void check_results(platform_fixture& it) {
+  const serving_process& reader = it.first ? *it.first : *it.second;
+  const auto results = it.read_all(reader, "j1");
+  REQUIRE(results.size() == 4);
+  for (const auto& [id, result] : results) {
+    CAPTURE(id, result.dump());
+    CHECK(result["state"] == "done");
+    CHECK(is_of_one_version(result["output"].get<std::string>()));
+  }
+}
+
 } // namespace
 
 // Guards against texts whose first part comes from one software version and the rest from another.
@@ -50,14 +62,7 @@
     it.store.erase("servers/e-1");
     it.first.reset();
   }
-  const serving_process& reader = it.first ? *it.first : *it.second;
-  const auto results = it.read_all(reader, "j1");
-  REQUIRE(results.size() == 4);
-  for (const auto& [id, result] : results) {
-    CAPTURE(id, result.dump());
-    CHECK(result["state"] == "done");
-    CHECK(is_of_one_version(result["output"].get<std::string>()));
-  }
+  check_results(it);
   if (older) {
     CHECK(older->continued_ids.size() == 4);
   }
@@ -69,18 +74,6 @@
   platform_fixture it;
   it.start("second", it.second);
   it.engine = it.make_engine("e-1", "v1", interval, events);
-  /// Replaces the process and leaves the first instance with its former entry.
-  const auto restart_behind_first = [&] {
-    dispatch::service_endpoints& table = it.first->context().endpoints;
-    const dispatch::endpoint_entry former = *table.find("e-1");
-    it.engine->restart_with_same_id("v2");
-    for (serving_process* at : {it.first.get(), it.second.get()}) {
-      REQUIRE(it.loop->run_until(
-          [&] { return at->context().endpoints.find("e-1")->software == "models/v2"; },
-          wait_limit));
-    }
-    table.put(former);
-  };
   const auto submit = [&] {
     REQUIRE(it.call(*it.first, "POST", "/jobs/j1", to_text(make_job()), "key-n", "j1").status ==
             202);
@@ -103,14 +96,14 @@
     REQUIRE(it.loop->run_until([&] { return older->open() == 4; }, wait_limit));
     it.loop->run_until([] { return false; }, early_events * interval);
     it.engine->full = false;
-    restart_behind_first();
+    it.restart_engine_behind(*it.first, "v2");
     older->crash();
     it.loop->run_until([] { return false; }, seconds(1));
     // At last the instance learns of the process.
     it.engine->announce();
   }
   SECTION("when it began there") {
-    restart_behind_first();
+    it.restart_engine_behind(*it.first, "v2");
     submit();
     REQUIRE(it.loop->run_until([&] { return it.engine->open() == 4; }, wait_limit));
     it.loop->run_until([] { return false; }, early_events * interval);
@@ -129,14 +122,7 @@
       it.engine->crash();
     }
   }
-  const serving_process& reader = it.first ? *it.first : *it.second;
-  const auto results = it.read_all(reader, "j1");
-  REQUIRE(results.size() == 4);
-  for (const auto& [id, result] : results) {
-    CAPTURE(id, result.dump());
-    CHECK(result["state"] == "done");
-    CHECK(is_of_one_version(result["output"].get<std::string>()));
-  }
+  check_results(it);
 }
 
 } // namespace boragedoor::platform
