--- a/libs/http1/server_connection.cpp
+++ b/libs/http1/server_connection.cpp
@@ -285,7 +285,7 @@
 }
 
 void server_connection::close_if_idle() {
-  if (phase_ == phase::head && !head_started_ && !has_output() &&
+  if (phase_ != phase::closing && !is_busy() &&
       evbuffer_get_length(bufferevent_get_input(bev_)) == 0) {
     close();
   }
