--- a/libs/instance/endpoint_calls.cpp
+++ b/libs/instance/endpoint_calls.cpp
@@ -284,6 +284,21 @@
   waiting_calls_.erase(&it);
 }
 
+void endpoint_calls::request_report(
+    const dispatch::endpoint_entry& entry, duration timeout,
+    std::function<void(http1::call_outcome, const http1::response&)> done) {
+  endpoint_request request{
+      .endpoint = entry.description.id,
+      .address = entry.address,
+      .attempt = {},
+      .message = [this, id = entry.description.id] { return protocol_.report(id); },
+      .repeatable = true,
+      .progress_timeout = timeout};
+  http1::call_callbacks callbacks;
+  callbacks.on_end = std::move(done);
+  send(std::move(request), std::move(callbacks));
+}
+
 void endpoint_calls::check(const std::string& endpoint, const net::address& address,
                            std::function<void(connection_check)> done) {
   const auto relay = is_cut_off() ? relays_.choose({}, loop_.now(), random_) : std::nullopt;
--- a/libs/instance/endpoint_calls.h
+++ b/libs/instance/endpoint_calls.h
@@ -89,6 +89,10 @@
   /// connection, `on_end` waits until it is known whether others do.
   std::shared_ptr<http1::call> send(endpoint_request request, http1::call_callbacks callbacks);
 
+  /// Asks an endpoint for its report. `done` gets what `on_end` of a call gets.
+  void request_report(const dispatch::endpoint_entry& entry, duration timeout,
+                      std::function<void(http1::call_outcome, const http1::response&)> done);
+
   /// Finds out whether an endpoint takes connections.
   void check(const std::string& endpoint, const net::address& address,
              std::function<void(connection_check)> done);
--- a/libs/instance/endpoint_verifier.cpp
+++ b/libs/instance/endpoint_verifier.cpp
@@ -29,21 +29,13 @@
 
 void endpoint_verifier::verify(const expected_process& expected,
                                std::function<void(process_verdict)> done) {
-  const std::string& id = expected.process.endpoint;
-  const dispatch::endpoint_entry* entry = context_.endpoints.find(id);
+  const dispatch::endpoint_entry* entry = context_.endpoints.find(expected.process.endpoint);
   if (entry == nullptr) {
     read_entry(expected, std::nullopt, std::move(done));
     return;
   }
-  endpoint_request request{.endpoint = id,
-                           .address = entry->address,
-                           .attempt = {},
-                           .message = [this, id] { return context_.protocol.report(id); },
-                           .repeatable = true,
-                           .progress_timeout = report_timeout};
-  http1::call_callbacks callbacks;
-  callbacks.on_end = [this, alive = alive_, expected, done = std::move(done)](
-                         http1::call_outcome outcome, const http1::response& it) {
+  auto compare_start = [this, alive = alive_, expected, done = std::move(done)](
+                           http1::call_outcome outcome, const http1::response& it) {
     if (!*alive) {
       return;
     }
@@ -56,7 +48,7 @@
       read_entry(expected, started, done);
     }
   };
-  context_.outgoing.send(std::move(request), std::move(callbacks));
+  context_.outgoing.request_report(*entry, report_timeout, std::move(compare_start));
 }
 
 void endpoint_verifier::verify_registered(const expected_process& expected,
--- a/libs/instance/weight_task.cpp
+++ b/libs/instance/weight_task.cpp
@@ -58,27 +58,21 @@
     record_failure(order, entry == nullptr ? "gone" : "no_effect");
     return;
   }
-  endpoint_request request{
-      .endpoint = order.engine,
-      .address = entry->address,
-      .attempt = {},
-      .message = [this, engine = order.engine] { return context_.protocol.report(engine); },
-      .repeatable = true,
-      .progress_timeout = call_timeout};
-  http1::call_callbacks callbacks;
-  callbacks.on_end = [this, order, order_sent, deadline,
-                      process = dispatch::endpoint_process{order.engine, entry->process_start_ms}](
-                         http1::call_outcome outcome, const http1::response& it) {
-    context_.note_departure(process, context_.protocol.read(it));
-    const auto report =
-        outcome == http1::call_outcome::complete ? context_.protocol.read_report(it) : std::nullopt;
-    if (report) {
-      handle_report(order, *report, order_sent, deadline);
-    } else {
-      record_failure(order, "no_report");
-    }
-  };
-  context_.outgoing.send(std::move(request), std::move(callbacks));
+  context_.outgoing.request_report(
+      *entry, call_timeout,
+      [this, order, order_sent, deadline,
+       process = dispatch::endpoint_process{order.engine, entry->process_start_ms}](
+          http1::call_outcome outcome, const http1::response& it) {
+        context_.note_departure(process, context_.protocol.read(it));
+        const auto report = outcome == http1::call_outcome::complete
+                                ? context_.protocol.read_report(it)
+                                : std::nullopt;
+        if (report) {
+          handle_report(order, *report, order_sent, deadline);
+        } else {
+          record_failure(order, "no_report");
+        }
+      });
 }
 
 void weight_task::handle_report(const duties::load_order& order, const engine_report& report,
