--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -219,6 +219,9 @@
 
   /// Whether the request can be answered before this process ends, if it stops.
   [[nodiscard]] bool may_start() const {
+    if (!owner_.stop_.has_begun()) {
+      return true;
+    }
     return owner_.stop_.may_start({.kind = route_.matched_route->kind,
                                    .deadline = plan_.deadline(),
                                    .usual_duration = usual_duration()},
