Keep one type for a process of an endpoint

jobs::text_source repeated dispatch::endpoint_process, which jobs cannot include. The type is in routing, which both use, and has the order that the texts need. A tracked item keeps the start of its run's process only, because its endpoint is there already. Stored documents are unchanged.

--- a/libs/dispatch/service_endpoints.cpp
+++ b/libs/dispatch/service_endpoints.cpp
@@ -491,7 +491,7 @@
   return found != leaving_.end() && found->second == entry.process_start_ms;
 }
 
-bool service_endpoints::note_leaving(const endpoint_process& process) {
+bool service_endpoints::note_leaving(const routing::endpoint_process& process) {
   tracked_endpoint* it = find_tracked(process.endpoint);
   // A late response says nothing about a process that has taken over the id.
   if (it == nullptr || it->entry.process_start_ms != process.start_ms || is_leaving(it->entry)) {
--- a/libs/dispatch/service_endpoints.h
+++ b/libs/dispatch/service_endpoints.h
@@ -18,6 +18,7 @@
 #include "net/http_types.h"
 #include "routing/endpoint_health.h"
 #include "routing/endpoint_load.h"
+#include "routing/endpoint_process.h"
 #include "routing/endpoint_table.h"
 #include "routing/router.h"
 
@@ -40,13 +41,6 @@
   std::uint64_t revision = 0;
 };
 
-/// A process of an endpoint.
-struct endpoint_process {
-  std::string endpoint;
-  /// See `endpoint_entry::process_start_ms`.
-  std::int64_t start_ms = 0;
-};
-
 /// What a request requires of an endpoint, and which endpoints it prefers.
 struct endpoint_requirements {
   std::string_view service{};
@@ -78,7 +72,7 @@
   /// See `endpoint_entry::process_start_ms`.
   std::int64_t process_start_ms = 0;
 
-  [[nodiscard]] endpoint_process process() const { return {id, process_start_ms}; }
+  [[nodiscard]] routing::endpoint_process process() const { return {id, process_start_ms}; }
 };
 
 /// Tracks the load and health of all services' endpoints and selects one for each request.
@@ -155,7 +149,7 @@
   [[nodiscard]] std::optional<double> request_limit(std::string_view id) const;
   /// Records that a process of an endpoint states that it leaves. It gets no further requests, also
   /// after its entry has changed or was gone. Returns whether this is new.
-  bool note_leaving(const endpoint_process& process);
+  bool note_leaving(const routing::endpoint_process& process);
   /// Records that another process answers at the endpoint's address. The endpoint gets no requests
   /// until its entry changes.
   void note_misdirected(std::string_view id);
--- a/libs/dispatch/stream_origins.h
+++ b/libs/dispatch/stream_origins.h
@@ -21,7 +21,7 @@
   /// See `endpoint_entry::software`.
   std::string software;
   /// The process that began the stream, with the key and the revision of its entry in the registry.
-  endpoint_process process{};
+  routing::endpoint_process process{};
   std::string key{};
   std::uint64_t revision = 0;
 };
--- a/libs/instance/crash_task.cpp
+++ b/libs/instance/crash_task.cpp
@@ -47,7 +47,7 @@
       retry_timer_(context.loop, [this] { store_records(); }) {}
 
 void crash_task::check(const std::string& request, const std::string& fingerprint,
-                       const dispatch::endpoint_process& process) {
+                       const routing::endpoint_process& process) {
   const dispatch::endpoint_entry* entry = context_.endpoints.find(process.endpoint);
   if (entry == nullptr || entry->process_start_ms != process.start_ms) {
     record_crash(request, fingerprint, process);
@@ -63,7 +63,7 @@
 }
 
 void crash_task::record_crash(const std::string& request, const std::string& fingerprint,
-                              const dispatch::endpoint_process& process) {
+                              const routing::endpoint_process& process) {
   context_.record(events::event_number::endpoint_crashed, request, process.endpoint,
                   {{"fingerprint", fingerprint}, {"process", process.start_ms}});
   const std::vector<std::string> running = {fingerprint};
--- a/libs/instance/crash_task.h
+++ b/libs/instance/crash_task.h
@@ -36,7 +36,7 @@
   /// Checks whether an endpoint still takes connections, after a request that had been sent to it
   /// got no complete response. `fingerprint` is that of the request.
   void check(const std::string& request, const std::string& fingerprint,
-             const dispatch::endpoint_process& process);
+             const routing::endpoint_process& process);
 
   /// Records that an endpoint completed a response to the request, so that it does not crash
   /// endpoints.
@@ -58,7 +58,7 @@
   using record_list = std::vector<requests::crash_record>;
 
   void record_crash(const std::string& request, const std::string& fingerprint,
-                    const dispatch::endpoint_process& process);
+                    const routing::endpoint_process& process);
   void on_put(const stored_item& it);
   void on_removed(const std::string& key);
   void store_records();
--- a/libs/instance/endpoint_calls.h
+++ b/libs/instance/endpoint_calls.h
@@ -44,7 +44,7 @@
 /// The process of an endpoint to which a request of another instance is forwarded.
 struct forward_target {
   net::address address;
-  dispatch::endpoint_process process;
+  routing::endpoint_process process;
 };
 
 /// Addresses of some endpoints, and the number of all endpoints.
@@ -110,7 +110,7 @@
   /// Emitted when this instance is cut off from all endpoints, and when it no longer is.
   sigc::signal<void(bool cut_off)> cut_off_changed;
   /// Emitted with the head of each response that this instance forwards to another one.
-  sigc::signal<void(const dispatch::endpoint_process& process, const endpoint_reply& reply)>
+  sigc::signal<void(const routing::endpoint_process& process, const endpoint_reply& reply)>
       forwarded;
   /// Emitted for each request that is sent through another instance.
   sigc::signal<void()> relayed;
--- a/libs/instance/endpoint_verifier.h
+++ b/libs/instance/endpoint_verifier.h
@@ -27,7 +27,7 @@
 
 /// The process of an endpoint and its software, as this instance knows them.
 struct expected_process {
-  dispatch::endpoint_process process;
+  routing::endpoint_process process;
   /// See `endpoint_entry::software`.
   std::string software;
 };
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -166,7 +166,7 @@
   struct attempt {
     std::string endpoint;
     std::string software;
-    dispatch::endpoint_process process{};
+    routing::endpoint_process process{};
     std::shared_ptr<http1::call> call;
     time_point sent_at;
     bool execution_started = false;
--- a/libs/instance/instance_context.cpp
+++ b/libs/instance/instance_context.cpp
@@ -28,7 +28,7 @@
   endpoints.note_sent(endpoint, loop.now());
 }
 
-void instance_context::note_departure(const dispatch::endpoint_process& process,
+void instance_context::note_departure(const routing::endpoint_process& process,
                                       const endpoint_reply& reply) {
   if (reply.leaving && endpoints.note_leaving(process)) {
     record(events::event_number::endpoint_draining, {}, process.endpoint,
@@ -36,7 +36,7 @@
   }
 }
 
-void instance_context::note_reply(const dispatch::endpoint_process& process,
+void instance_context::note_reply(const routing::endpoint_process& process,
                                   const endpoint_reply& reply, time_point sent_at) {
   const std::string& endpoint = process.endpoint;
   const time_point now = loop.now();
--- a/libs/instance/instance_context.h
+++ b/libs/instance/instance_context.h
@@ -60,10 +60,10 @@
   void note_sent(const std::string& endpoint, std::string_view purpose);
   /// Records the load, the request limit and the departure that the response to a request sent at
   /// `sent_at` states.
-  void note_reply(const dispatch::endpoint_process& process, const endpoint_reply& reply,
+  void note_reply(const routing::endpoint_process& process, const endpoint_reply& reply,
                   time_point sent_at);
   /// Records whether a response states that the endpoint leaves.
-  void note_departure(const dispatch::endpoint_process& process, const endpoint_reply& reply);
+  void note_departure(const routing::endpoint_process& process, const endpoint_reply& reply);
   /// Writes an event to the log. `request` and `endpoint` may be empty.
   void record(events::event_number number, std::string_view request, std::string_view endpoint,
               json details = json::object());
--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -59,7 +59,7 @@
     : context_(context), store_(store), verifier_(verifier),
       run_(std::move(loaded.contents), loaded.listed, context.loop.now(), loaded.progress),
       texts_(context.loop, verifier,
-             [this](const jobs::text_source& source, std::span<const std::size_t> items,
+             [this](const routing::endpoint_process& source, std::span<const std::size_t> items,
                     process_verdict verdict) { on_text_verified(source, items, verdict); }),
       listed_(loaded.listed.size(), max_cached_bytes),
       next_save_(context.loop.now() + save_interval) {}
@@ -275,7 +275,7 @@
   return true;
 }
 
-void job_runner::on_text_verified(const jobs::text_source& source,
+void job_runner::on_text_verified(const routing::endpoint_process& source,
                                   std::span<const std::size_t> items, process_verdict verdict) {
   if (stopped_) {
     return;
--- a/libs/instance/job_runner.h
+++ b/libs/instance/job_runner.h
@@ -59,7 +59,7 @@
   struct active_call {
     std::size_t item = 0;
     std::string endpoint;
-    dispatch::endpoint_process process{};
+    routing::endpoint_process process{};
     /// See `endpoint_entry::software`.
     std::string software{};
     std::shared_ptr<http1::call> call;
@@ -92,7 +92,7 @@
   [[nodiscard]] std::string service_for(const dispatch::route& route, std::size_t n);
   /// Continues texts whose process was verified, and discards those that may come from other
   /// software.
-  void on_text_verified(const jobs::text_source& source, std::span<const std::size_t> items,
+  void on_text_verified(const routing::endpoint_process& source, std::span<const std::size_t> items,
                         process_verdict verdict);
   /// Finds out whether the process of a run runs its software. `done` is not called once the run
   /// has ended.
--- a/libs/instance/text_verification.cpp
+++ b/libs/instance/text_verification.cpp
@@ -8,7 +8,7 @@
                                      handler done)
     : loop_(loop), verifier_(verifier), done_(std::move(done)) {}
 
-void text_verification::add(std::size_t item, const jobs::text_source& source,
+void text_verification::add(std::size_t item, const routing::endpoint_process& source,
                             std::string_view software) {
   queue& it = queues_[source];
   const bool scheduled = !it.waiting.empty() || !it.in_progress.empty();
@@ -24,10 +24,10 @@
   }
 }
 
-void text_verification::start(const jobs::text_source& source) {
+void text_verification::start(const routing::endpoint_process& source) {
   queue& it = queues_[source];
   it.in_progress = std::exchange(it.waiting, {});
-  verifier_.verify_registered({{source.endpoint, source.process_start_ms}, it.software},
+  verifier_.verify_registered({source, it.software},
                               [this, alive = alive_, source](process_verdict verdict) {
                                 if (*alive) {
                                   finish(source, verdict);
@@ -35,7 +35,7 @@
                               });
 }
 
-void text_verification::finish(const jobs::text_source& source, process_verdict verdict) {
+void text_verification::finish(const routing::endpoint_process& source, process_verdict verdict) {
   queue& it = queues_[source];
   const auto items = std::exchange(it.in_progress, {});
   if (it.waiting.empty()) {
--- a/libs/instance/text_verification.h
+++ b/libs/instance/text_verification.h
@@ -19,7 +19,7 @@
 /// because a process may have been replaced since the first was sent.
 class text_verification {
 public:
-  using handler = std::function<void(const jobs::text_source& source,
+  using handler = std::function<void(const routing::endpoint_process& source,
                                      std::span<const std::size_t> items, process_verdict verdict)>;
 
   /// `done` is called once for each item, and never after this object is destroyed.
@@ -31,7 +31,7 @@
   text_verification& operator=(text_verification&&) = delete;
 
   /// Verifies that `source` ran the software that is believed to have generated an item's text.
-  void add(std::size_t item, const jobs::text_source& source, std::string_view software);
+  void add(std::size_t item, const routing::endpoint_process& source, std::string_view software);
 
 private:
   struct queue {
@@ -40,13 +40,13 @@
     std::vector<std::size_t> in_progress;
   };
 
-  void start(const jobs::text_source& source);
-  void finish(const jobs::text_source& source, process_verdict verdict);
+  void start(const routing::endpoint_process& source);
+  void finish(const routing::endpoint_process& source, process_verdict verdict);
 
   net::event_loop& loop_;
   endpoint_verifier& verifier_;
   handler done_;
-  std::map<jobs::text_source, queue> queues_;
+  std::map<routing::endpoint_process, queue> queues_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/libs/instance/weight_task.cpp
+++ b/libs/instance/weight_task.cpp
@@ -61,7 +61,7 @@
   context_.outgoing.request_report(
       *entry, call_timeout,
       [this, order, order_sent, deadline,
-       process = dispatch::endpoint_process{order.engine, entry->process_start_ms}](
+       process = routing::endpoint_process{order.engine, entry->process_start_ms}](
           http1::call_outcome outcome, const http1::response& it) {
         context_.note_departure(process, context_.protocol.read(it));
         const auto report = outcome == http1::call_outcome::complete
--- a/libs/jobs/job.h
+++ b/libs/jobs/job.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -8,6 +7,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "routing/endpoint_process.h"
 
 namespace boragedoor::jobs {
 
@@ -67,15 +67,6 @@
   std::string score;
 };
 
-/// A process of an endpoint, by the endpoint's id and the start of the process in Unix
-/// milliseconds.
-struct text_source {
-  std::string endpoint;
-  std::int64_t process_start_ms = 0;
-
-  friend auto operator<=>(const text_source&, const text_source&) = default;
-};
-
 /// A partial text, from which another instance can continue the generation.
 struct item_progress {
   std::string id;
@@ -85,7 +76,7 @@
   /// Software that generated the text; only endpoints with the same one can continue it.
   std::string software;
   /// Process that generated the last part of the text, unless it is certain that it ran `software`.
-  std::optional<text_source> unverified{};
+  std::optional<routing::endpoint_process> unverified{};
 };
 
 /// The part of a job that every instance knows: which instance runs it, and whether it has ended.
--- a/libs/jobs/job_documents.cpp
+++ b/libs/jobs/job_documents.cpp
@@ -215,7 +215,7 @@
                    {"software", it.software}});
     if (it.unverified) {
       out.back()["endpoint"] = it.unverified->endpoint;
-      out.back()["process_start_ms"] = it.unverified->process_start_ms;
+      out.back()["process_start_ms"] = it.unverified->start_ms;
     }
   }
   return to_cbor(out);
@@ -239,8 +239,8 @@
     // Documents of earlier releases do not name the software. `job_run` ignores such texts.
     read_field(from, "software", it.software);
     // Nor do they name the process, as if it were verified.
-    if (text_source source; read_field(from, "endpoint", source.endpoint)) {
-      source.process_start_ms = integer_field(from, "process_start_ms").value_or(0);
+    if (routing::endpoint_process source; read_field(from, "endpoint", source.endpoint)) {
+      source.start_ms = integer_field(from, "process_start_ms").value_or(0);
       it.unverified = std::move(source);
     }
     list.push_back(std::move(it));
--- a/libs/jobs/job_run.cpp
+++ b/libs/jobs/job_run.cpp
@@ -134,7 +134,7 @@
   it.current_phase = phase::running;
   it.endpoint = target.endpoint;
   it.run_software = target.software;
-  it.run_source = {std::string(target.endpoint), target.process_start_ms};
+  it.run_process_start_ms = target.process_start_ms;
   it.run_verified = false;
   it.waiting_since.reset();
   it.run_version = 0;
@@ -165,7 +165,7 @@
     return false;
   }
   if (!it.run_verified) {
-    it.unverified = it.run_source;
+    it.unverified = routing::endpoint_process{it.endpoint, it.run_process_start_ms};
   }
   if (it.has_text) {
     it.text += '\n';
--- a/libs/jobs/job_run.h
+++ b/libs/jobs/job_run.h
@@ -42,7 +42,7 @@
 struct run_target {
   std::string_view endpoint;
   std::string_view software;
-  /// See `text_source::process_start_ms`.
+  /// See `routing::endpoint_process::start_ms`.
   std::int64_t process_start_ms = 0;
 };
 
@@ -103,7 +103,8 @@
   [[nodiscard]] std::string_view software(std::size_t n) const { return items_[n].software; }
   /// Process that generated the last part of the item's text, if it is not certain that it ran
   /// `software`. Such a text must not be continued.
-  [[nodiscard]] const std::optional<text_source>& unverified_source(std::size_t n) const {
+  [[nodiscard]] const std::optional<routing::endpoint_process>&
+  unverified_source(std::size_t n) const {
     return items_[n].unverified;
   }
   /// Records that the text comes from `software`.
@@ -189,9 +190,9 @@
     /// Software that generated the text, and that of the run in progress.
     std::string software;
     std::string run_software;
-    /// See `unverified_source`, and the process of the run in progress.
-    std::optional<text_source> unverified;
-    text_source run_source;
+    /// See `unverified_source`, and the start of the process of the run in progress.
+    std::optional<routing::endpoint_process> unverified;
+    std::int64_t run_process_start_ms = 0;
     bool run_verified = false;
     /// When the text first could not be continued since the last run.
     std::optional<time_point> waiting_since;
--- a/tests/jobs/job_documents_test.cpp
+++ b/tests/jobs/job_documents_test.cpp
@@ -76,10 +76,11 @@
   CHECK(again.value().at(0).versions == std::vector<std::uint64_t>{6});
   CHECK_FALSE(again.value().at(0).unverified);
 
-  const std::vector<item_progress> unverified = {{"i1", "a", 4, {6}, "s/v2", text_source{"e1", 5}}};
+  const std::vector<item_progress> unverified = {
+      {"i1", "a", 4, {6}, "s/v2", routing::endpoint_process{"e1", 5}}};
   const auto named = progress_from_document(to_document(unverified));
   REQUIRE(named);
-  CHECK(named.value().at(0).unverified == text_source{"e1", 5});
+  CHECK(named.value().at(0).unverified == routing::endpoint_process{"e1", 5});
 }
 
 TEST_CASE("a malformed document is an error and is not decoded in part") {
--- a/tests/jobs/job_run_test.cpp
+++ b/tests/jobs/job_run_test.cpp
@@ -443,14 +443,14 @@
     SECTION("it names the process that generated its last part until that is verified") {
       run.started(0, {"e1", "s/v1", 7}, start);
       REQUIRE(run.accept_version(0, 4));
-      CHECK_FALSE(run.unverified_source(0) == text_source{"e1", 7});
+      CHECK_FALSE(run.unverified_source(0) == routing::endpoint_process{"e1", 7});
       REQUIRE(run.append_event(0, make_event(31, "t"), start));
-      CHECK(run.unverified_source(0) == text_source{"e1", 7});
+      CHECK(run.unverified_source(0) == routing::endpoint_process{"e1", 7});
       run.ended(0, run_outcome::broken, start);
       const auto kept = run.progress(100'000);
       REQUIRE(kept.size() == 1);
       const job_run successor(make_job(1, 2), {}, start, kept);
-      CHECK(successor.unverified_source(0) == text_source{"e1", 7});
+      CHECK(successor.unverified_source(0) == routing::endpoint_process{"e1", 7});
 
       SECTION("then it goes on, and a verified process leaves it verified") {
         run.confirm_text(0);
