--- a/libs/instance/stream_origin_task.cpp
+++ b/libs/instance/stream_origin_task.cpp
@@ -41,17 +41,17 @@
     return;
   }
   const dispatch::endpoint_entry* entry = context_.endpoints.find(from.process.endpoint);
-  const dispatch::stream_origin origin{.attempt = attempt,
-                                       .software = from.software,
-                                       .process = from.process,
-                                       .key = entry == nullptr ? std::string() : entry->key,
-                                       .revision = entry == nullptr ? 0 : entry->revision};
   if (entry == nullptr || entry->process_start_ms != from.process.start_ms) {
-    drop(origin, "the endpoint was replaced");
+    drop(attempt, from.process, "the endpoint was replaced");
     return;
   }
   const bool idle = origins_.unstored(1).empty();
-  if (!origins_.add(origin, context_.loop.now())) {
+  if (!origins_.add({.attempt = attempt,
+                     .software = from.software,
+                     .process = from.process,
+                     .key = entry->key,
+                     .revision = entry->revision},
+                    context_.loop.now())) {
     context_.record(events::event_number::stream_not_recorded, attempt, {},
                     {{"reason", "too many records wait for the store"}});
   }
@@ -171,21 +171,21 @@
       return it.key == record.key && it.revision != 0;
     });
     if (entry == found.end()) {
-      drop(record, "the endpoint's entry is gone");
+      drop(record.attempt, record.process, "the endpoint's entry is gone");
     } else if (verifier_.compare(*entry, {record.process, record.software}) !=
                process_verdict::confirmed) {
-      drop(record, "the endpoint was replaced");
+      drop(record.attempt, record.process, "the endpoint was replaced");
     } else {
       origins_.set_revision(record.attempt, entry->revision);
     }
   }
 }
 
-void stream_origin_task::drop(const dispatch::stream_origin& record, std::string_view reason) {
-  origins_.drop(record.attempt);
-  context_.record(events::event_number::stream_not_recorded, record.attempt,
-                  record.process.endpoint,
-                  {{"reason", reason}, {"process", record.process.start_ms}});
+void stream_origin_task::drop(const std::string& attempt, const routing::endpoint_process& process,
+                              std::string_view reason) {
+  origins_.drop(attempt);
+  context_.record(events::event_number::stream_not_recorded, attempt, process.endpoint,
+                  {{"reason", reason}, {"process", process.start_ms}});
 }
 
 } // namespace boragedoor::instance
--- a/libs/instance/stream_origin_task.h
+++ b/libs/instance/stream_origin_task.h
@@ -55,7 +55,8 @@
   /// Compares the records whose endpoints' entries have changed with the present entries.
   void check_changed(const std::vector<dispatch::stream_origin>& records,
                      const std::vector<stored_item>& found);
-  void drop(const dispatch::stream_origin& record, std::string_view reason);
+  void drop(const std::string& attempt, const routing::endpoint_process& process,
+            std::string_view reason);
 
   instance_context& context_;
   const endpoint_verifier& verifier_;
