Log how the check for a crash of an endpoint ended

A check without a verdict, and one that found the endpoint connected, left no line, so the hypotheses of the incident could not be told apart. The event crash_checked names the verdict and whether the instance counted as cut off.

--- a/libs/events/catalogue.cpp
+++ b/libs/events/catalogue.cpp
@@ -83,6 +83,8 @@
      "No endpoint takes a connection from this instance."},
     {endpoints_reachable, info, "endpoints_reachable",
      "An endpoint takes connections from this instance again."},
+    {crash_checked, info, "crash_checked",
+     "An endpoint was checked for a crash after a caller's request to it broke off."},
     {step_opened, info, "step_opened", "A trainer opened a step."},
     {batch_committed, info, "batch_committed", "A batch of samples is durable in the store."},
     {batch_delivered, info, "batch_delivered",
--- a/libs/events/catalogue.h
+++ b/libs/events/catalogue.h
@@ -64,6 +64,7 @@
   endpoint_crashed = 1509,
   endpoints_unreachable = 1510,
   endpoints_reachable = 1511,
+  crash_checked = 1512,
 
   step_opened = 1601,
   batch_committed = 1602,
--- a/libs/instance/crash_task.cpp
+++ b/libs/instance/crash_task.cpp
@@ -56,7 +56,15 @@
   context_.outgoing.check(
       process.endpoint, entry->address,
       [this, alive = alive_, request, fingerprint, process](connection_check state) {
-        if (*alive && state == connection_check::unconnected) {
+        if (!*alive) {
+          return;
+        }
+        context_.record(events::event_number::crash_checked, request, process.endpoint,
+                        {{"fingerprint", fingerprint},
+                         {"process", process.start_ms},
+                         {"state", to_string(state)},
+                         {"cut_off", context_.outgoing.is_cut_off()}});
+        if (state == connection_check::unconnected) {
           record_crash(request, fingerprint, process);
         }
       });
--- a/libs/instance/endpoint_calls.cpp
+++ b/libs/instance/endpoint_calls.cpp
@@ -66,6 +66,18 @@
 
 } // namespace
 
+std::string_view to_string(connection_check it) {
+  switch (it) {
+  case connection_check::connected:
+    return "connected";
+  case connection_check::unconnected:
+    return "unconnected";
+  case connection_check::unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
 /// A request to an endpoint and the call that carries it.
 class endpoint_calls::routed_call : public http1::call,
                                     public std::enable_shared_from_this<routed_call> {
--- a/libs/instance/endpoint_calls.h
+++ b/libs/instance/endpoint_calls.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <sigc++/signal.h>
@@ -41,6 +42,8 @@
 /// Whether an endpoint takes connections; `unknown` if this instance cannot find out.
 enum class connection_check { connected, unconnected, unknown };
 
+std::string_view to_string(connection_check it);
+
 /// The process of an endpoint to which a request of another instance is forwarded.
 struct forward_target {
   net::address address;
