Do not take a service that is down for lost links

Cause: three endpoints that took no connection within three seconds, with none that did in between, were enough. An instance whose requests all go to one service connects to nothing else.

Now requests that fail only cause connections to other endpoints, at least one of each of up to three services and first those that have not failed, and the instance counts as cut off when all of these fail. The time until a real cut is noticed is that of such a round, as before.

An instance that forwards a check for another one and does not know the endpoint says that it cannot tell, and no longer that the endpoint is down.

--- a/libs/instance/crash_task.cpp
+++ b/libs/instance/crash_task.cpp
@@ -55,7 +55,7 @@
   }
   context_.outgoing.check(
       process.endpoint, entry->address,
-      [this, alive = alive_, request, fingerprint, process](connection_check state) {
+      [this, alive = alive_, request, fingerprint, process](dispatch::connection_check state) {
         if (!*alive) {
           return;
         }
@@ -64,7 +64,7 @@
                          {"process", process.start_ms},
                          {"state", to_string(state)},
                          {"cut_off", context_.outgoing.is_cut_off()}});
-        if (state == connection_check::unconnected) {
+        if (state == dispatch::connection_check::unconnected) {
           record_crash(request, fingerprint, process);
         }
       });
--- a/libs/instance/endpoint_calls.cpp
+++ b/libs/instance/endpoint_calls.cpp
@@ -9,6 +9,8 @@
 
 namespace boragedoor::instance {
 
+using dispatch::connection_check;
+
 namespace {
 
 /// Endpoints that are connected to at a time to find out whether any takes connections.
@@ -66,18 +68,6 @@
 
 } // namespace
 
-std::string_view to_string(connection_check it) {
-  switch (it) {
-  case connection_check::connected:
-    return "connected";
-  case connection_check::unconnected:
-    return "unconnected";
-  case connection_check::unknown:
-    return "unknown";
-  }
-  return "unknown";
-}
-
 /// A request to an endpoint and the call that carries it.
 class endpoint_calls::routed_call : public http1::call,
                                     public std::enable_shared_from_this<routed_call> {
@@ -368,11 +358,12 @@
   };
   const auto to = resolve_ ? resolve_(endpoint) : std::nullopt;
   // Instances of earlier versions know no other outcome that makes them ask the next one.
-  if (is_cut_off() || forwarding_stopped_) {
+  const bool is_check = !net::find_header(headers, check_header).empty();
+  if (is_cut_off() || forwarding_stopped_ || (!to && is_check)) {
     respond(bad_gateway, relay_cut_off);
   } else if (!to) {
     respond(bad_gateway, to_string(http1::call_outcome::not_connected));
-  } else if (!net::find_header(headers, check_header).empty()) {
+  } else if (is_check) {
     check_directly(to->address, [respond](connection_check state) {
       switch (state) {
       case connection_check::connected:
@@ -460,12 +451,7 @@
 }
 
 void endpoint_calls::note_unconnected(const net::address& endpoint) {
-  if (reachability_.note_unconnected(endpoint, known_endpoints_, loop_.now())) {
-    probe_timer_.start_periodic(probe_interval);
-    cut_off_changed.emit(true);
-    end_decision();
-    reroute_calls();
-  }
+  reachability_.note_unconnected(endpoint, loop_.now());
 }
 
 void endpoint_calls::reroute_calls() {
@@ -494,14 +480,15 @@
     return;
   }
   last_probes_at_ = loop_.now();
-  const endpoint_sample sample = sample_ ? sample_(probes_at_once) : endpoint_sample{};
-  known_endpoints_ = sample.known;
-  open_probes_ = sample.addresses.size();
+  const std::vector<net::address> probed = reachability_.begin_probes(
+      known_endpoints_ ? known_endpoints_() : std::vector<dispatch::probe_candidate>(),
+      probes_at_once, loop_.now(), random_);
+  open_probes_ = probed.size();
   if (open_probes_ == 0) {
     end_decision();
     return;
   }
-  for (const net::address& it : sample.addresses) {
+  for (const net::address& it : probed) {
     client_.probe(it, connect_timeout, [this, alive = alive_, it](bool connected) {
       if (*alive) {
         on_probe(it, connected);
@@ -517,8 +504,17 @@
   } else {
     note_unconnected(endpoint);
   }
-  if (open_probes_ == 0) {
-    end_decision();
+  if (open_probes_ > 0) {
+    return;
+  }
+  const bool newly_cut_off = reachability_.end_probes(loop_.now());
+  if (newly_cut_off) {
+    probe_timer_.start_periodic(probe_interval);
+    cut_off_changed.emit(true);
+  }
+  end_decision();
+  if (newly_cut_off) {
+    reroute_calls();
   }
 }
 
--- a/libs/instance/endpoint_calls.h
+++ b/libs/instance/endpoint_calls.h
@@ -3,17 +3,16 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include <sigc++/signal.h>
 
 #include "base/random.h"
+#include "dispatch/connection_check.h"
 #include "dispatch/endpoint_reachability.h"
 #include "dispatch/relay_selection.h"
 #include "dispatch/service_endpoints.h"
@@ -39,23 +38,12 @@
   bool new_connection = false;
 };
 
-/// Whether an endpoint takes connections; `unknown` if this instance cannot find out.
-enum class connection_check { connected, unconnected, unknown };
-
-std::string_view to_string(connection_check it);
-
 /// The process of an endpoint to which a request of another instance is forwarded.
 struct forward_target {
   net::address address;
   routing::endpoint_process process;
 };
 
-/// Addresses of some endpoints, and the number of all endpoints.
-struct endpoint_sample {
-  std::vector<net::address> addresses;
-  std::size_t known = 0;
-};
-
 /// Sends requests to endpoints: directly, or through another instance while this one is cut off
 /// from them.
 ///
@@ -64,8 +52,8 @@
 /// Forwarded requests are not forwarded again.
 class endpoint_calls {
 public:
-  /// Returns up to `count` endpoints, chosen at random.
-  using sampler = std::function<endpoint_sample(std::size_t count)>;
+  /// Returns all endpoints that this instance knows.
+  using endpoint_list = std::function<std::vector<dispatch::probe_candidate>()>;
   /// Returns the process of an endpoint; nothing if this instance does not know the endpoint or
   /// must not send to it.
   using resolver = std::function<std::optional<forward_target>(const std::string& endpoint)>;
@@ -79,8 +67,9 @@
   endpoint_calls(endpoint_calls&&) = delete;
   endpoint_calls& operator=(endpoint_calls&&) = delete;
 
-  /// Sets how endpoints are chosen to find out whether any takes connections.
-  void set_sampler(sampler sample) { sample_ = std::move(sample); }
+  /// Sets where the endpoints come from of which some are connected to in order to find out whether
+  /// any takes connections.
+  void set_known_endpoints(endpoint_list list) { known_endpoints_ = std::move(list); }
 
   /// Sets how the endpoints of other instances' requests are found.
   void set_resolver(resolver resolve) { resolve_ = std::move(resolve); }
@@ -98,7 +87,7 @@
 
   /// Finds out whether an endpoint takes connections.
   void check(const std::string& endpoint, const net::address& address,
-             std::function<void(connection_check)> done);
+             std::function<void(dispatch::connection_check)> done);
 
   /// Forwards a request of another instance. Returns false if it is not a request to an endpoint.
   bool answer(const std::shared_ptr<http1::exchange>& from);
@@ -125,7 +114,8 @@
   void forward(const std::shared_ptr<http1::exchange>& from, const forward_target& to);
   /// Sends calls on through relays that wait for a link that this instance does not have.
   void reroute_calls();
-  void check_directly(const net::address& address, std::function<void(connection_check)> done);
+  void check_directly(const net::address& address,
+                      std::function<void(dispatch::connection_check)> done);
   void note_connected();
   void note_unconnected(const net::address& endpoint);
   /// Calls `fn` when it is known whether this instance is cut off, after an endpoint took no
@@ -141,13 +131,11 @@
   net::event_loop& loop_;
   http1::client& client_;
   const endpoint_protocol& protocol_;
-  sampler sample_;
+  endpoint_list known_endpoints_;
   resolver resolve_;
   dispatch::relay_selection relays_;
   random_engine random_;
   dispatch::endpoint_reachability reachability_;
-  /// Number of endpoints; the maximum until it is known.
-  std::size_t known_endpoints_ = std::numeric_limits<std::size_t>::max();
   std::size_t open_probes_ = 0;
   std::vector<std::function<void()>> undecided_;
   /// Calls in progress that have had no response yet.
