Count crashes that an instance cannot confirm at once

Callers of one service: a request that crashes the endpoints that run it was sent to each process that came back, and the service stayed down.

Cause: after an attempt that broke off, the instance connects to the endpoint to see whether it crashed. While the instance counts as cut off there is no verdict, and the check was dropped. The crash of the last endpoints of a service, and crashes beside other ones, look like a cut to an instance that knows no other service.

The check stays open now (dispatch/crash_checks). It is repeated four times a second, and compared with the registry, which names another process in the place of one that ended. Until there is a verdict the attempt counts as a crash at this instance.

Sound requests: the attempt counts only while no verdict can be had, and a completed response removes it as before.

--- a/libs/events/catalogue.cpp
+++ b/libs/events/catalogue.cpp
@@ -78,7 +78,7 @@
     {permits_unanswered, warning, "permits_unanswered",
      "An instance did not answer a request for permits to send to limited endpoints."},
     {endpoint_crashed, warning, "endpoint_crashed",
-     "An endpoint takes no connections right after a caller's request to it broke off."},
+     "The process of an endpoint ended under a caller's request that broke off."},
     {endpoints_unreachable, warning, "endpoints_unreachable",
      "No endpoint takes a connection from this instance."},
     {endpoints_reachable, info, "endpoints_reachable",
--- a/libs/instance/crash_task.cpp
+++ b/libs/instance/crash_task.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <span>
 #include <utility>
 
@@ -26,6 +27,12 @@
 /// Wait of a watch call. Each instance counts the crashes that it sees at once, so the records of
 /// the others may come later.
 constexpr duration watch_wait = seconds(5);
+/// How often open checks are compared with the registry.
+constexpr duration check_interval = milliseconds(250);
+
+/// What shows that a process ended.
+constexpr std::string_view connection_evidence = "connection";
+constexpr std::string_view registry_evidence = "registry";
 
 std::string key_of(const requests::crash_record& it) {
   return fmt::format("{}{}/{}/{}", crash_prefix, it.fingerprint, net::encode_component(it.endpoint),
@@ -44,48 +51,92 @@
               .on_removed = [this](const std::string& key) { on_removed(key); },
               .on_synced = nullptr,
               .on_reachable = nullptr}),
-      retry_timer_(context.loop, [this] { store_records(); }) {}
+      retry_timer_(context.loop, [this] { store_records(); }),
+      check_timer_(context.loop, [this] { on_check_timer(); }) {}
 
-void crash_task::check(const std::string& request, const std::string& fingerprint,
-                       const routing::endpoint_process& process) {
+void crash_task::check(dispatch::broken_attempt attempt) {
+  const routing::endpoint_process& process = attempt.process;
   const dispatch::endpoint_entry* entry = context_.endpoints.find(process.endpoint);
   if (entry == nullptr || entry->process_start_ms != process.start_ms) {
-    record_crash(request, fingerprint, process);
+    record_crashes({std::move(attempt)}, registry_evidence);
     return;
   }
-  context_.outgoing.check(
-      process.endpoint, entry->address,
-      [this, alive = alive_, request, fingerprint, process](dispatch::connection_check state) {
-        if (!*alive) {
-          return;
-        }
-        context_.record(events::event_number::crash_checked, request, process.endpoint,
-                        {{"fingerprint", fingerprint},
-                         {"process", process.start_ms},
-                         {"state", to_string(state)},
-                         {"cut_off", context_.outgoing.is_cut_off()}});
-        if (state == dispatch::connection_check::unconnected) {
-          record_crash(request, fingerprint, process);
-        }
-      });
+  if (checks_.is_empty()) {
+    check_timer_.start_periodic(check_interval);
+  }
+  checks_.add(std::move(attempt), entry->address, context_.loop.now());
+  run_checks();
+}
+
+void crash_task::run_checks() {
+  for (const auto& due : checks_.take_due(context_.loop.now())) {
+    context_.outgoing.check(
+        due.process.endpoint, due.address,
+        [this, alive = alive_, process = due.process](dispatch::connection_check state) {
+          if (*alive) {
+            on_checked(process, state);
+          }
+        });
+  }
 }
 
-void crash_task::record_crash(const std::string& request, const std::string& fingerprint,
-                              const routing::endpoint_process& process) {
-  context_.record(events::event_number::endpoint_crashed, request, process.endpoint,
-                  {{"fingerprint", fingerprint}, {"process", process.start_ms}});
-  const std::vector<std::string> running = {fingerprint};
-  auto records =
-      suspects_.record_crash(context_.loop.now(), context_.stable_wall_now(), process.endpoint,
-                             std::to_string(process.start_ms), running);
-  std::erase_if(records, [](const auto& it) { return key_of(it).size() > max_key_size; });
-  std::ranges::move(records, std::back_inserter(unstored_));
+void crash_task::on_checked(const routing::endpoint_process& process,
+                            dispatch::connection_check state) {
+  context_.record(events::event_number::crash_checked, {}, process.endpoint,
+                  {{"process", process.start_ms},
+                   {"state", to_string(state)},
+                   {"cut_off", context_.outgoing.is_cut_off()}});
+  record_crashes(
+      checks_.note_checked(process, state, context_.loop.now(), context_.stable_wall_now()),
+      connection_evidence);
+}
+
+void crash_task::on_check_timer() {
+  std::vector<dispatch::registered_process> registered;
+  context_.endpoints.for_each([&](const dispatch::endpoint_entry& it) {
+    registered.push_back({{it.description.id, it.process_start_ms}, it.address});
+  });
+  record_crashes(checks_.note_registry(registered), registry_evidence);
+  for (const dispatch::broken_attempt& it : checks_.expire(context_.loop.now())) {
+    context_.record(
+        events::event_number::crash_checked, it.request, it.process.endpoint,
+        {{"process", it.process.start_ms}, {"fingerprint", it.fingerprint}, {"state", "given_up"}});
+  }
+  if (checks_.is_empty()) {
+    check_timer_.cancel();
+    return;
+  }
+  run_checks();
+}
+
+void crash_task::record_crashes(const std::vector<dispatch::broken_attempt>& attempts,
+                                std::string_view evidence) {
+  for (const dispatch::broken_attempt& it : attempts) {
+    context_.record(events::event_number::endpoint_crashed, it.request, it.process.endpoint,
+                    {{"fingerprint", it.fingerprint},
+                     {"process", it.process.start_ms},
+                     {"evidence", evidence}});
+    const std::vector<std::string> running = {it.fingerprint};
+    auto records = suspects_.record_crash(context_.loop.now(), context_.stable_wall_now(),
+                                          it.process.endpoint,
+                                          std::to_string(it.process.start_ms), running);
+    std::erase_if(records, [](const auto& one) { return key_of(one).size() > max_key_size; });
+    std::ranges::move(records, std::back_inserter(unstored_));
+  }
   while (unstored_.size() > max_unstored_records) {
     unstored_.pop_front();
   }
   store_records();
 }
 
+bool crash_task::is_held(const std::string& fingerprint) const {
+  std::set<requests::crash_suspects::crash_id> unconfirmed;
+  for (const routing::endpoint_process& it : checks_.unconfirmed(fingerprint)) {
+    unconfirmed.emplace(it.endpoint, std::to_string(it.start_ms));
+  }
+  return suspects_.is_held(fingerprint, std::move(unconfirmed));
+}
+
 void crash_task::store_records() {
   if (storing_ || unstored_.empty()) {
     return;
@@ -134,6 +185,7 @@
 }
 
 void crash_task::note_completed(const std::string& fingerprint) {
+  checks_.forget(fingerprint);
   if (!suspects_.is_suspect(fingerprint)) {
     return;
   }
--- a/libs/instance/crash_task.h
+++ b/libs/instance/crash_task.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "dispatch/crash_checks.h"
 #include "instance/instance_context.h"
 #include "instance/prefix_watch.h"
 #include "requests/crash_suspects.h"
@@ -23,7 +24,7 @@
 ///
 /// Design note: the records are in the store, because callers come again at any instance, also
 /// after all instances were killed. A request that completes has its records removed: it ran beside
-/// others at endpoints that crashed.
+/// others at endpoints that crashed. Crashes that are not confirmed yet count at this instance only.
 class crash_task {
 public:
   explicit crash_task(instance_context& context);
@@ -33,22 +34,19 @@
   crash_task(crash_task&&) = delete;
   crash_task& operator=(crash_task&&) = delete;
 
-  /// Checks whether an endpoint still takes connections, after a request that had been sent to it
-  /// got no complete response. `fingerprint` is that of the request.
-  void check(const std::string& request, const std::string& fingerprint,
-             const routing::endpoint_process& process);
+  /// Finds out whether the process of an endpoint ended under an attempt that had been sent to it
+  /// and got no complete response.
+  void check(dispatch::broken_attempt attempt);
 
   /// Records that an endpoint completed a response to the request, so that it does not crash
   /// endpoints.
   void note_completed(const std::string& fingerprint);
   /// Whether an endpoint crashed under the request since it last completed.
   [[nodiscard]] bool is_suspect(const std::string& fingerprint) const {
-    return suspects_.is_suspect(fingerprint);
+    return suspects_.is_suspect(fingerprint) || !checks_.unconfirmed(fingerprint).empty();
   }
   /// Whether so many endpoints crashed under the request that it must not be sent to another one.
-  [[nodiscard]] bool is_held(const std::string& fingerprint) const {
-    return suspects_.is_held(fingerprint);
-  }
+  [[nodiscard]] bool is_held(const std::string& fingerprint) const;
 
   void start() { watch_.start(); }
   /// Sets the pause between watch calls, which depends on the number of instances.
@@ -57,8 +55,13 @@
 private:
   using record_list = std::vector<requests::crash_record>;
 
-  void record_crash(const std::string& request, const std::string& fingerprint,
-                    const routing::endpoint_process& process);
+  /// Connects to the endpoints whose check is due.
+  void run_checks();
+  void on_checked(const routing::endpoint_process& process, dispatch::connection_check state);
+  /// Compares open checks with the registry, and repeats those without a verdict.
+  void on_check_timer();
+  void record_crashes(const std::vector<dispatch::broken_attempt>& attempts,
+                      std::string_view evidence);
   void on_put(const stored_item& it);
   void on_removed(const std::string& key);
   void store_records();
@@ -68,6 +71,7 @@
 
   instance_context& context_;
   requests::crash_suspects suspects_;
+  dispatch::crash_checks checks_;
   /// Records in the store by their keys.
   std::map<std::string, requests::crash_record> stored_;
   /// Records to be stored, the oldest first.
@@ -76,6 +80,7 @@
   bool storing_ = false;
   prefix_watch watch_;
   net::timer retry_timer_;
+  net::timer check_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -487,7 +487,7 @@
   /// Finds out whether the endpoint crashed, after a request that had been sent got no complete
   /// response.
   void check_for_crash(const attempt& it) {
-    owner_.crashes_.check(request_.attempt_id, fingerprint_, it.process);
+    owner_.crashes_.check({it.process, request_.attempt_id, fingerprint_});
   }
 
   void end_stream(const attempt& it, http1::call_outcome outcome) {
--- a/libs/requests/crash_suspects.cpp
+++ b/libs/requests/crash_suspects.cpp
@@ -1,6 +1,7 @@
 #include "requests/crash_suspects.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "base/hash.h"
 #include "base/json_fields.h"
@@ -185,8 +186,9 @@
   return list;
 }
 
-bool crash_suspects::is_held(std::string_view fingerprint) const {
-  return counted_crashes(fingerprint).size() >= options_.crashes_to_hold;
+bool crash_suspects::is_held(std::string_view fingerprint, std::set<crash_id> unconfirmed) const {
+  std::ranges::move(counted_crashes(fingerprint), std::inserter(unconfirmed, unconfirmed.end()));
+  return unconfirmed.size() >= options_.crashes_to_hold;
 }
 
 bool crash_suspects::is_quarantined(time_point now, std::string_view fingerprint) const {
--- a/libs/requests/crash_suspects.h
+++ b/libs/requests/crash_suspects.h
@@ -79,6 +79,9 @@
 /// requests, each at its first crash, because the rule cannot tell the three apart.
 class crash_suspects {
 public:
+  /// Endpoint id and incarnation.
+  using crash_id = std::pair<std::string, std::string>;
+
   static crash_suspects create(suspect_options options = {});
 
   /// Records that an endpoint process crashed while it ran these requests of this instance. Returns
@@ -97,8 +100,10 @@
   /// Returns whether the request was running during any recorded crash.
   [[nodiscard]] bool is_suspect(std::string_view fingerprint) const;
   /// Returns whether enough crashes count against the request according to the records received so
-  /// far. A held request must not run on any endpoint.
-  [[nodiscard]] bool is_held(std::string_view fingerprint) const;
+  /// far. A held request must not run on any endpoint. `unconfirmed` are further crashes that count
+  /// against it.
+  [[nodiscard]] bool is_held(std::string_view fingerprint,
+                             std::set<crash_id> unconfirmed = {}) const;
   /// Returns whether the request is held and all instances have had time to report which other
   /// requests were running at those crashes.
   [[nodiscard]] bool is_quarantined(time_point now, std::string_view fingerprint) const;
@@ -110,8 +115,6 @@
   [[nodiscard]] std::size_t size() const { return by_time_.size(); }
 
 private:
-  /// Endpoint id and incarnation.
-  using crash_id = std::pair<std::string, std::string>;
   /// An endpoint process that crashed.
   struct crashed_process {
     /// Fingerprints of the requests that were running, with the crash time reported for each.
