Repeat the removal of crash records until the store takes it

A sound request that had run at crashing endpoints and then completed stayed refused at the other instances for ten minutes if the store did not take the removal of its records.

platform_crashing_request_test with a store that refuses the removal: the two records are still there after ten seconds before, and gone now.

Crashes that are not told to the other instances, because their key is too long or too many wait, leave a line (crash_not_recorded); they left none.

--- a/libs/events/catalogue.cpp
+++ b/libs/events/catalogue.cpp
@@ -85,6 +85,8 @@
      "An endpoint takes connections from this instance again."},
     {crash_checked, info, "crash_checked",
      "An endpoint was checked for a crash after a caller's request to it broke off."},
+    {crash_not_recorded, warning, "crash_not_recorded",
+     "A crash under a caller's request counts at this instance only."},
     {step_opened, info, "step_opened", "A trainer opened a step."},
     {batch_committed, info, "batch_committed", "A batch of samples is durable in the store."},
     {batch_delivered, info, "batch_delivered",
--- a/libs/events/catalogue.h
+++ b/libs/events/catalogue.h
@@ -65,6 +65,7 @@
   endpoints_unreachable = 1510,
   endpoints_reachable = 1511,
   crash_checked = 1512,
+  crash_not_recorded = 1513,
 
   step_opened = 1601,
   batch_committed = 1602,
--- a/libs/instance/crash_task.cpp
+++ b/libs/instance/crash_task.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ranges>
 #include <set>
 #include <span>
 #include <utility>
@@ -120,15 +121,28 @@
     auto records = suspects_.record_crash(context_.loop.now(), context_.stable_wall_now(),
                                           it.process.endpoint,
                                           std::to_string(it.process.start_ms), running);
-    std::erase_if(records, [](const auto& one) { return key_of(one).size() > max_key_size; });
-    std::ranges::move(records, std::back_inserter(unstored_));
+    for (requests::crash_record& one : records) {
+      if (key_of(one).size() > max_key_size) {
+        note_not_stored(one, "the key is too long");
+      } else {
+        unstored_.push_back(std::move(one));
+      }
+    }
   }
   while (unstored_.size() > max_unstored_records) {
+    note_not_stored(unstored_.front(), "too many records wait");
     unstored_.pop_front();
   }
   store_records();
 }
 
+void crash_task::note_not_stored(const requests::crash_record& record, std::string_view reason) {
+  context_.record(events::event_number::crash_not_recorded, {}, record.endpoint,
+                  {{"fingerprint", record.fingerprint},
+                   {"process", record.incarnation},
+                   {"reason", reason}});
+}
+
 bool crash_task::is_held(const std::string& fingerprint) const {
   std::set<requests::crash_suspects::crash_id> unconfirmed;
   for (const routing::endpoint_process& it : checks_.unconfirmed(fingerprint)) {
@@ -138,10 +152,14 @@
 }
 
 void crash_task::store_records() {
-  if (storing_ || unstored_.empty()) {
+  if (storing_ || (unstored_.empty() && obsolete_.empty())) {
     return;
   }
   storing_ = true;
+  if (!obsolete_.empty()) {
+    remove_obsolete();
+    return;
+  }
   // Crashes are rare, so each change has a lease of its own, with which its records vanish.
   context_.store.grant_lease(retention, [this, alive = alive_](const lease_answer& granted) {
     if (!*alive) {
@@ -155,6 +173,22 @@
   });
 }
 
+void crash_task::remove_obsolete() {
+  store_change change;
+  std::ranges::copy(obsolete_ | std::views::take(max_records_at_once),
+                    std::back_inserter(change.removed));
+  context_.store.commit(
+      change, [this, alive = alive_, keys = change.removed](const commit_answer& it) {
+        if (!*alive) {
+          return;
+        }
+        if (it.status == store_status::ok) {
+          std::ranges::for_each(keys, [this](const std::string& key) { obsolete_.erase(key); });
+        }
+        on_stored({}, it.status);
+      });
+}
+
 void crash_task::commit_records(std::uint64_t lease) {
   const auto end = unstored_.begin() +
                    static_cast<std::ptrdiff_t>(std::min(unstored_.size(), max_records_at_once));
@@ -174,14 +208,19 @@
 
 void crash_task::on_stored(const record_list& batch, store_status status) {
   storing_ = false;
+  for (const requests::crash_record& it : batch) {
+    if (!suspects_.is_suspect(it.fingerprint)) {
+      // The request has completed meanwhile. A change without an answer may take effect later.
+      obsolete_.insert(key_of(it));
+    } else if (status != store_status::ok) {
+      unstored_.push_front(it);
+    }
+  }
   if (status == store_status::ok) {
     store_records();
-    return;
+  } else {
+    retry_timer_.start_once(retry_delay);
   }
-  // Those of requests that have completed meanwhile are not needed any more.
-  std::ranges::copy_if(batch, std::front_inserter(unstored_),
-                       [this](const auto& it) { return suspects_.is_suspect(it.fingerprint); });
-  retry_timer_.start_once(retry_delay);
 }
 
 void crash_task::note_completed(const std::string& fingerprint) {
@@ -195,16 +234,12 @@
       suspects_.remove(it);
     }
   }
-  store_change change;
   for (const auto& [key, record] : stored_) {
-    if (record.fingerprint == fingerprint && change.removed.size() < max_records_at_once) {
-      change.removed.push_back(key);
+    if (record.fingerprint == fingerprint) {
+      obsolete_.insert(key);
     }
   }
-  if (!change.removed.empty()) {
-    // If this fails, the records stay with the other instances until they expire.
-    context_.store.commit(change, [](const commit_answer& /*it*/) {});
-  }
+  store_records();
 }
 
 void crash_task::on_put(const stored_item& it) {
@@ -225,6 +260,7 @@
     suspects_.remove(found->second);
     stored_.erase(found);
   }
+  obsolete_.erase(key);
 }
 
 } // namespace boragedoor::instance
--- a/libs/instance/crash_task.h
+++ b/libs/instance/crash_task.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -64,7 +65,11 @@
                       std::string_view evidence);
   void on_put(const stored_item& it);
   void on_removed(const std::string& key);
+  /// Logs that the other instances do not learn of a crash.
+  void note_not_stored(const requests::crash_record& record, std::string_view reason);
+  /// Stores the records that wait, and removes those that are obsolete.
   void store_records();
+  void remove_obsolete();
   void commit_records(std::uint64_t lease);
   /// Handles the outcome of storing `batch`.
   void on_stored(const record_list& batch, store_status status);
@@ -76,7 +81,9 @@
   std::map<std::string, requests::crash_record> stored_;
   /// Records to be stored, the oldest first.
   std::deque<requests::crash_record> unstored_;
-  /// Whether a call that stores records is in progress.
+  /// Keys of the records of requests that have completed, to be removed from the store.
+  std::set<std::string> obsolete_;
+  /// Whether a call that stores or removes records is in progress.
   bool storing_ = false;
   prefix_watch watch_;
   net::timer retry_timer_;
--- a/tests/platform/crashing_request_test.cpp
+++ b/tests/platform/crashing_request_test.cpp
@@ -113,4 +113,31 @@
   }
 }
 
+// Guards against a sound request staying refused at the other instances because the store did not
+// take the removal of its records.
+TEST_CASE("the crash records of a request that completes are removed although the store is away") {
+  const std::string prefix = "boragedoor/crashes/";
+  crash_fixture it;
+  it.wait_for_endpoints(*it.first);
+  it.send_crashing(*it.first);
+  REQUIRE(it.loop->run_until([&] { return it.store.keys(prefix).size() == 2; }, wait_limit));
+  it.for_each_endpoint([](replica_stand_in& one) { one.crashing_target.clear(); });
+  it.wait_for_endpoints(*it.first);
+
+  SECTION("which refuses the removal") {
+    it.store.set_fault(store_fault::refuse);
+    CHECK(it.send_crashing(*it.first) == 200);
+    it.loop->run_until([] { return false; }, seconds(1));
+    CHECK(it.store.keys(prefix).size() == 2);
+    it.store.set_fault(store_fault::none);
+  }
+  SECTION("and loses its answer") {
+    it.store.set_fault(store_fault::lose_answers);
+    CHECK(it.send_crashing(*it.first) == 200);
+    it.loop->run_until([] { return false; }, seconds(1));
+    it.store.set_fault(store_fault::none);
+  }
+  CHECK(it.loop->run_until([&] { return it.store.keys(prefix).empty(); }, seconds(10)));
+}
+
 } // namespace boragedoor::platform
