--- a/tests/http1/raw_peer.cpp
+++ b/tests/http1/raw_peer.cpp
@@ -55,6 +55,10 @@
   bufferevent_write(bev_, bytes.data(), bytes.size());
 }
 
+std::size_t raw_connection::unsent() const {
+  return evbuffer_get_length(bufferevent_get_output(bev_));
+}
+
 void raw_connection::set_reading(bool on) {
   if (on) {
     bufferevent_enable(bev_, EV_READ);
--- a/tests/http1/raw_peer.h
+++ b/tests/http1/raw_peer.h
@@ -25,6 +25,8 @@
   raw_connection& operator=(raw_connection&&) = delete;
 
   void send(std::string_view bytes);
+  /// Bytes that were not sent yet.
+  [[nodiscard]] std::size_t unsent() const;
   /// Stops or continues reading, so that the peer's output fills its buffers.
   void set_reading(bool on);
   /// Closes after what was sent has left, in order or with a reset.
