Limit the bytes of messages that a process holds

Faulty peers took an instance over its memory, and the requests of all other callers on it ended with it: endpoints that send bytes without end in bodies, also in the responses to reward calls, callers that do not read their streams, and many callers with large bodies.

Cause: each response had a limit of 64 MiB, whatever it was for, and nothing limited their sum or the output of a connection. Memory that was not needed any more stayed: an assignment of an empty text keeps it (exchange::drop_body, texts of items), and the heap kept large blocks once a first one had been freed.

http1/byte_budget counts the bytes of bodies that arrive, of responses that are collected and of output over all connections. Each call states its limit; bodies of reward responses are dropped as they arrive; a text of an item ends at 768 KiB, which a value of the store can hold; bytes of a response that are not of its body are limited.

A relay now takes requests to endpoints of up to 64 MiB; it answered 413 to those over 4 MiB, which an instance without links then took for a break.

--- a/libs/events/catalogue.cpp
+++ b/libs/events/catalogue.cpp
@@ -63,6 +63,8 @@
     {attempt_hedged, info, "attempt_hedged", "A second attempt of a slow sample was started."},
     {stream_not_recorded, warning, "stream_not_recorded",
      "The software that began a stream was not recorded; the stream cannot be taken up."},
+    {exchange_ended_for_memory, warning, "exchange_ended_for_memory",
+     "An exchange was ended because the process held too many bytes of messages."},
     {endpoint_added, info, "endpoint_added", "An endpoint became available."},
     {endpoint_draining, info, "endpoint_draining",
      "An endpoint gets no new work because it is leaving."},
--- a/libs/events/catalogue.h
+++ b/libs/events/catalogue.h
@@ -52,6 +52,7 @@
   request_quarantined = 1408,
   attempt_hedged = 1409,
   stream_not_recorded = 1410,
+  exchange_ended_for_memory = 1411,
 
   endpoint_added = 1501,
   endpoint_draining = 1502,
--- a/libs/http1/call.h
+++ b/libs/http1/call.h
@@ -11,6 +11,12 @@
 /// Interim responses, and responses that the owner skips, before the call ends as malformed.
 inline constexpr int max_skipped_responses = 16;
 
+/// Bytes of a call's responses that are not of a body, before the call ends as malformed: heads,
+/// interim responses, sizes and extensions of chunks, trailers. Each byte of a body adds some,
+/// because chunks may be small.
+inline constexpr std::size_t max_head_bytes = 64UL * 1024;
+inline constexpr std::size_t max_overhead_per_body_byte = 8;
+
 /// Longest time of a call whose body is collected, in progress timeouts after the connection is
 /// made. It ends a server that sends a byte now and then. A call with `on_data` has no such limit:
 /// its owner judges the progress by what the bytes mean.
@@ -45,7 +51,9 @@
   /// is not known whether the request ran.
   bool new_connection = false;
   /// Larger responses end the call as malformed.
-  std::size_t max_body_bytes = 64UL * 1024 * 1024;
+  std::size_t max_body_bytes = 1024UL * 1024;
+  /// Whether the body is wanted, if it is not passed to `on_data`. It is received in any case.
+  bool collect_body = true;
 };
 
 struct call_callbacks {
--- a/libs/http1/client.cpp
+++ b/libs/http1/client.cpp
@@ -5,7 +5,9 @@
 
 namespace boragedoor::http1 {
 
-client::client(net::event_loop& loop, std::size_t max_idle) : loop_(loop), max_idle_(max_idle) {
+client::client(net::event_loop& loop, std::shared_ptr<byte_budget> budget, std::size_t max_idle)
+    : loop_(loop), budget_(budget ? std::move(budget) : byte_budget::create(loop)),
+      max_idle_(max_idle) {
   pool_.on_idle = [this](const std::shared_ptr<client_connection>& it) {
     if (idle_count_ >= max_idle_) {
       it->close();
@@ -71,7 +73,7 @@
     connection = take_idle(spec.target);
   }
   if (!connection) {
-    connection = std::make_shared<client_connection>(loop_, pool_, spec.target);
+    connection = std::make_shared<client_connection>(loop_, pool_, budget_, spec.target);
     open_.emplace(connection.get(), connection);
     ++made_;
   }
--- a/libs/http1/client.h
+++ b/libs/http1/client.h
@@ -19,7 +19,9 @@
   /// the runs of its jobs need most of them.
   static constexpr std::size_t default_max_idle = 1024;
 
-  explicit client(net::event_loop& loop, std::size_t max_idle = default_max_idle);
+  /// `budget` limits what all connections hold; without one nothing does.
+  explicit client(net::event_loop& loop, std::shared_ptr<byte_budget> budget = nullptr,
+                  std::size_t max_idle = default_max_idle);
   ~client();
   client(const client&) = delete;
   client& operator=(const client&) = delete;
@@ -45,6 +47,7 @@
 
   net::event_loop& loop_;
   client_connection::owner pool_;
+  std::shared_ptr<byte_budget> budget_;
   std::unordered_map<client_connection*, std::shared_ptr<client_connection>> open_;
   std::map<net::address, std::vector<std::shared_ptr<client_connection>>> idle_;
   std::size_t max_idle_;
--- a/libs/http1/client_connection.cpp
+++ b/libs/http1/client_connection.cpp
@@ -13,6 +13,9 @@
 #include <event2/event.h>
 #include <fmt/format.h>
 
+#include "base/release_memory.h"
+#include "http1/message_output.h"
+
 namespace boragedoor::http1 {
 
 namespace {
@@ -56,8 +59,15 @@
   return "unknown";
 }
 
-client_connection::client_connection(net::event_loop& loop, const owner& pool, net::address target)
-    : loop_(loop), pool_(pool), target_(std::move(target)),
+client_connection::client_connection(net::event_loop& loop, const owner& pool,
+                                     std::shared_ptr<byte_budget> budget, net::address target)
+    : loop_(loop), pool_(pool), budget_(std::move(budget)), target_(std::move(target)),
+      input_account_(budget_, byte_use::response_body, net::to_string(target_),
+                     [this] {
+                       const auto keep = shared_from_this();
+                       fail(call_outcome::malformed);
+                     }),
+      output_account_(budget_, byte_use::output, net::to_string(target_), nullptr),
       timer_(loop,
              [this] {
                const auto keep = shared_from_this();
@@ -70,15 +80,21 @@
 
 client_connection::~client_connection() {
   if (bev_ != nullptr) {
+    evbuffer_remove_cb(bufferevent_get_output(bev_), &client_connection::on_output, this);
     bufferevent_free(bev_);
   }
 }
 
+void client_connection::on_output(evbuffer* output, const evbuffer_cb_info* /*info*/, void* self) {
+  static_cast<client_connection*>(self)->output_account_.set(evbuffer_get_length(output));
+}
+
 void client_connection::start(call_spec spec, call_callbacks callbacks) {
   spec_ = std::move(spec);
   callbacks_ = std::move(callbacks);
   response_ = {};
   body_bytes_ = 0;
+  head_bytes_ = 0;
   skipped_responses_ = 0;
   active_ = true;
   skipping_ = false;
@@ -100,6 +116,7 @@
   bev_ =
       bufferevent_socket_new(loop_.native(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   bufferevent_setcb(bev_, &client_connection::on_read, nullptr, &client_connection::on_event, this);
+  evbuffer_add_cb(bufferevent_get_output(bev_), &client_connection::on_output, this);
   sockaddr_in name{};
   name.sin_family = AF_INET;
   name.sin_port = htons(target_.port);
@@ -112,7 +129,7 @@
 }
 
 void client_connection::write_request() {
-  const request& it = spec_.message;
+  request& it = spec_.message;
   std::string head = fmt::format("{} {} HTTP/1.1\r\n", it.method, it.target);
   for (const auto& [name, value] : it.headers) {
     head += fmt::format("{}: {}\r\n", name, value);
@@ -125,7 +142,7 @@
     parser_->expect_no_body();
   }
   bufferevent_write(bev_, head.data(), head.size());
-  bufferevent_write(bev_, it.body.data(), it.body.size());
+  write_body(bev_, std::move(it.body));
   bufferevent_enable(bev_, EV_READ | EV_WRITE);
   timer_.start_once(spec_.progress_timeout);
   if (!callbacks_.on_data) {
@@ -185,12 +202,14 @@
     }
     const auto* text =
         reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(n)));
+    const std::size_t body_before = body_bytes_;
     const std::size_t used = parser_->feed({text, n});
     if (!active_) {
       // A callback cancelled the call.
       return;
     }
-    if (parser_->failed() || too_large_) {
+    head_bytes_ += used - std::min(used, body_bytes_ - body_before);
+    if (parser_->failed() || too_large_ || has_too_much_overhead()) {
       fail(call_outcome::malformed);
       return;
     }
@@ -208,6 +227,15 @@
     return true;
   }
   response_ = {head.status, head.headers, {}};
+  const auto length = integer_header(head.headers, "Content-Length");
+  const auto size = static_cast<std::size_t>(length.value_or(0));
+  if (size > spec_.max_body_bytes || !budget_->has_room_for(size)) {
+    return false;
+  }
+  input_account_.set_length_known(length.has_value());
+  if (collects_body()) {
+    response_.body.reserve(size);
+  }
   keep_alive_ = head.keep_alive && head.has_length;
   keep_for_ = default_keep;
   const std::string_view keep = net::find_header(head.headers, "Keep-Alive");
@@ -232,14 +260,16 @@
   }
   if (callbacks_.on_data) {
     callbacks_.on_data(data);
-  } else {
+  } else if (collects_body()) {
     response_.body.append(data);
+    input_account_.set(response_.body.size());
   }
 }
 
 void client_connection::take_complete() {
   if (skipping_) {
     skipping_ = false;
+    release_memory(response_.body);
     response_ = {};
     body_bytes_ = 0;
     if (++skipped_responses_ > max_skipped_responses) {
@@ -275,7 +305,10 @@
   timer_.cancel();
   total_timer_.cancel();
   const auto callbacks = std::exchange(callbacks_, {});
+  release_memory(spec_.message.body);
   spec_ = {};
+  // The owner of the call frees the body or adds it to an output.
+  input_account_.set(0);
   if (callbacks.on_end) {
     callbacks.on_end(outcome, std::exchange(response_, {}));
   }
@@ -298,9 +331,12 @@
 void client_connection::retire() {
   timer_.cancel();
   total_timer_.cancel();
+  input_account_.set(0);
+  output_account_.set(0);
   if (bev_ != nullptr) {
     bufferevent_disable(bev_, EV_READ | EV_WRITE);
     bufferevent_setcb(bev_, nullptr, nullptr, nullptr, nullptr);
+    evbuffer_remove_cb(bufferevent_get_output(bev_), &client_connection::on_output, this);
     // The bufferevent may be what is calling; it is closed from the loop, whoever still holds this
     // call.
     loop_.post(
--- a/libs/http1/client_connection.h
+++ b/libs/http1/client_connection.h
@@ -3,11 +3,14 @@
 #include <functional>
 #include <memory>
 
+#include "http1/byte_budget.h"
 #include "http1/call.h"
 #include "http1/parser.h"
 #include "net/event_loop.h"
 
 struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
 
 namespace boragedoor::http1 {
 
@@ -20,7 +23,8 @@
     std::function<void(client_connection&)> on_closed;
   };
 
-  client_connection(net::event_loop& loop, const owner& pool, net::address target);
+  client_connection(net::event_loop& loop, const owner& pool, std::shared_ptr<byte_budget> budget,
+                    net::address target);
   ~client_connection() override;
   client_connection(const client_connection&) = delete;
   client_connection& operator=(const client_connection&) = delete;
@@ -42,12 +46,17 @@
 private:
   static void on_read(bufferevent* bev, void* self);
   static void on_event(bufferevent* bev, short what, void* self);
+  static void on_output(evbuffer* output, const evbuffer_cb_info* info, void* self);
 
   void connect();
   void write_request();
   void read_input();
   bool take_head(const message_head& head);
   void take_data(std::string_view data);
+  [[nodiscard]] bool collects_body() const { return !callbacks_.on_data && spec_.collect_body; }
+  [[nodiscard]] bool has_too_much_overhead() const {
+    return head_bytes_ > max_head_bytes + max_overhead_per_body_byte * body_bytes_;
+  }
   void take_complete();
   void fail(call_outcome outcome);
   void end(call_outcome outcome);
@@ -55,7 +64,10 @@
 
   net::event_loop& loop_;
   const owner& pool_;
+  std::shared_ptr<byte_budget> budget_;
   net::address target_;
+  byte_account input_account_;
+  byte_account output_account_;
   bufferevent* bev_ = nullptr;
   std::unique_ptr<parser> parser_;
   net::timer timer_;
@@ -64,6 +76,8 @@
   call_callbacks callbacks_;
   response response_;
   std::size_t body_bytes_ = 0;
+  /// Bytes of the call's responses that were not of a body.
+  std::size_t head_bytes_ = 0;
   int skipped_responses_ = 0;
   bool active_ = false;
   bool connected_ = false;
--- a/libs/http1/exchange.cpp
+++ b/libs/http1/exchange.cpp
@@ -6,8 +6,10 @@
 
 namespace boragedoor::http1 {
 
-exchange::exchange(std::weak_ptr<server_connection> connection, request received, std::string peer)
-    : connection_(std::move(connection)), received_(std::move(received)), peer_(std::move(peer)) {}
+exchange::exchange(std::weak_ptr<server_connection> connection, request received, std::string peer,
+                   std::unique_ptr<byte_account> account)
+    : connection_(std::move(connection)), received_(std::move(received)), peer_(std::move(peer)),
+      account_(std::move(account)) {}
 
 exchange::~exchange() {
   if (!done_) {
@@ -19,10 +21,10 @@
   return !done_ && !connection_.expired();
 }
 
-void exchange::respond(const response& it) {
+void exchange::respond(response it) {
   if (const auto to = connection_.lock(); to && !done_) {
     done_ = true;
-    to->send_whole(it);
+    to->send_whole(std::move(it));
   }
 }
 
--- a/libs/http1/exchange.h
+++ b/libs/http1/exchange.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <string_view>
 
+#include "base/release_memory.h"
+#include "http1/byte_budget.h"
 #include "http1/message.h"
 
 namespace boragedoor::http1 {
@@ -15,7 +17,9 @@
 /// finished; dropping it unfinished breaks the connection.
 class exchange {
 public:
-  exchange(std::weak_ptr<server_connection> connection, request received, std::string peer);
+  /// `account` counts the bytes of the request's body.
+  exchange(std::weak_ptr<server_connection> connection, request received, std::string peer,
+           std::unique_ptr<byte_account> account);
   ~exchange();
   exchange(const exchange&) = delete;
   exchange& operator=(const exchange&) = delete;
@@ -24,7 +28,10 @@
 
   [[nodiscard]] const request& received() const { return received_; }
   /// Frees the request's body once it is no longer needed.
-  void drop_body() { received_.body = std::string(); }
+  void drop_body() {
+    release_memory(received_.body);
+    account_->set(0);
+  }
   /// Address of the caller, for logs.
   [[nodiscard]] const std::string& peer() const { return peer_; }
 
@@ -34,7 +41,7 @@
   [[nodiscard]] bool has_started() const { return started_; }
 
   /// Sends a whole response. Does nothing when the caller has left.
-  void respond(const response& it);
+  void respond(response it);
   /// Starts a chunked response; `it.body` is its first chunk, if not empty.
   void start(const response& it);
   void send_chunk(std::string_view data);
@@ -52,6 +59,7 @@
   std::weak_ptr<server_connection> connection_;
   request received_;
   std::string peer_;
+  std::unique_ptr<byte_account> account_;
   std::function<void()> left_;
   bool started_ = false;
   bool done_ = false;
--- /dev/null
+++ b/libs/http1/message_output.cpp
@@ -0,0 +1,34 @@
+#include "http1/message_output.h"
+
+#include <memory>
+#include <utility>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+namespace boragedoor::http1 {
+
+namespace {
+
+/// Smaller bodies are copied next to their head, so that both leave in one packet.
+constexpr std::size_t largest_copied_body = 16UL * 1024;
+
+} // namespace
+
+void write_body(bufferevent* to, std::string body) {
+  if (body.size() <= largest_copied_body) {
+    bufferevent_write(to, body.data(), body.size());
+    return;
+  }
+  auto held = std::make_unique<std::string>(std::move(body));
+  const std::unique_ptr<evbuffer, decltype(&evbuffer_free)> piece(evbuffer_new(), &evbuffer_free);
+  const auto release = [](const void* /*data*/, std::size_t /*size*/, void* text) {
+    delete static_cast<std::string*>(text);
+  };
+  if (evbuffer_add_reference(piece.get(), held->data(), held->size(), release, held.get()) == 0) {
+    held.release();
+  }
+  bufferevent_write_buffer(to, piece.get());
+}
+
+} // namespace boragedoor::http1
--- a/libs/http1/server.cpp
+++ b/libs/http1/server.cpp
@@ -22,7 +22,10 @@
 
 } // namespace
 
-server::server(net::event_loop& loop, handler on_request, refusal on_refusal) : loop_(loop) {
+server::server(net::event_loop& loop, handler on_request, refusal on_refusal,
+               std::shared_ptr<byte_budget> budget)
+    : loop_(loop) {
+  shared_->budget = budget ? std::move(budget) : byte_budget::create(loop);
   shared_->handler = std::move(on_request);
   shared_->refuse = std::move(on_refusal);
   shared_->on_closed = [this](server_connection& it) {
@@ -48,8 +51,10 @@
 }
 
 result<std::unique_ptr<server>> server::listen(net::event_loop& loop, const net::address& at,
-                                               handler on_request, refusal on_refusal) {
-  std::unique_ptr<server> it(new server(loop, std::move(on_request), std::move(on_refusal)));
+                                               handler on_request, refusal on_refusal,
+                                               std::shared_ptr<byte_budget> budget) {
+  std::unique_ptr<server> it(
+      new server(loop, std::move(on_request), std::move(on_refusal), std::move(budget)));
   sockaddr_in name{};
   name.sin_family = AF_INET;
   name.sin_port = htons(at.port);
--- a/libs/http1/server.h
+++ b/libs/http1/server.h
@@ -21,8 +21,10 @@
   using refusal = std::function<response(int status, std::string_view message)>;
 
   /// Listens on `at`; port 0 takes any free port. Fails with `io` when the address is in use.
+  /// `budget` limits what all connections hold; without one nothing does.
   static result<std::unique_ptr<server>> listen(net::event_loop& loop, const net::address& at,
-                                                handler on_request, refusal on_refusal);
+                                                handler on_request, refusal on_refusal,
+                                                std::shared_ptr<byte_budget> budget = nullptr);
   ~server();
   server(const server&) = delete;
   server& operator=(const server&) = delete;
@@ -45,7 +47,8 @@
   [[nodiscard]] std::vector<std::shared_ptr<exchange>> unanswered() const;
 
 private:
-  server(net::event_loop& loop, handler on_request, refusal on_refusal);
+  server(net::event_loop& loop, handler on_request, refusal on_refusal,
+         std::shared_ptr<byte_budget> budget);
   static void on_accept(evconnlistener* from, evutil_socket_t fd, struct sockaddr* peer, int size,
                         void* self);
 
--- a/libs/http1/server_connection.cpp
+++ b/libs/http1/server_connection.cpp
@@ -9,6 +9,9 @@
 #include <event2/event.h>
 #include <fmt/format.h>
 
+#include "base/release_memory.h"
+#include "http1/message_output.h"
+
 namespace boragedoor::http1 {
 
 namespace {
@@ -18,6 +21,9 @@
 
 constexpr std::string_view head_end = "\r\n\r\n";
 
+constexpr std::string_view too_large_text = "the body is too large";
+constexpr std::string_view out_of_memory_text = "the instance has no memory for the body now";
+
 /// Headers that decide who a request is from and where it ends. Two of one kind could be read in
 /// two ways.
 constexpr std::array<std::string_view, 4> single_headers = {"host", "authorization",
@@ -40,19 +46,40 @@
       peer_(std::move(peer)),
       parser_(message_kind::request,
               {.on_head = [this](const message_head& it) { return take_head(it); },
-               .on_body = [this](std::string_view data) { request_.body.append(data); },
+               .on_body =
+                   [this](std::string_view data) {
+                     request_.body.append(data);
+                     input_account_->set(request_.body.size());
+                   },
                .on_complete = [this] { message_done_ = true; }}),
-      timer_(loop, [this] { on_timeout(); }) {
+      timer_(loop, [this] { on_timeout(); }), input_account_(make_input_account()),
+      output_account_(shared_->budget, byte_use::output, peer_, [this] {
+        const auto keep = shared_from_this();
+        handle_end();
+      }) {
   bufferevent_setcb(bev_, &server_connection::on_read, &server_connection::on_write,
                     &server_connection::on_event, this);
+  evbuffer_add_cb(bufferevent_get_output(bev_), &server_connection::on_output, this);
   bufferevent_enable(bev_, EV_READ | EV_WRITE);
   timer_.start_once(shared_->limits.idle_timeout);
 }
 
 server_connection::~server_connection() {
+  evbuffer_remove_cb(bufferevent_get_output(bev_), &server_connection::on_output, this);
   bufferevent_free(bev_);
 }
 
+std::unique_ptr<byte_account> server_connection::make_input_account() {
+  return std::make_unique<byte_account>(shared_->budget, byte_use::request_body, peer_, [this] {
+    const auto keep = shared_from_this();
+    refuse(503, out_of_memory_text);
+  });
+}
+
+void server_connection::on_output(evbuffer* output, const evbuffer_cb_info* /*info*/, void* self) {
+  static_cast<server_connection*>(self)->output_account_.set(evbuffer_get_length(output));
+}
+
 void server_connection::on_read(bufferevent* /*bev*/, void* self) {
   // The handler may close the connection; it must outlive this call.
   const auto keep = static_cast<server_connection*>(self)->shared_from_this();
@@ -129,7 +156,8 @@
   parser_.feed(head);
   if (parser_.failed()) {
     if (phase_ != phase::closing) {
-      refuse(refusal_ == 0 ? 400 : refusal_, parser_.error_text());
+      refuse(refusal_ == 0 ? 400 : refusal_,
+             refusal_text_.empty() ? parser_.error_text() : std::string(refusal_text_));
     }
     return false;
   }
@@ -147,11 +175,20 @@
     return false;
   }
   const auto length = integer_header(head.headers, "Content-Length");
-  if (length && static_cast<std::uint64_t>(*length) > shared_->limits.body_bytes) {
+  const auto size = static_cast<std::size_t>(length.value_or(0));
+  if (size > shared_->limits.body_bytes) {
     refusal_ = 413;
+    refusal_text_ = too_large_text;
+    return false;
+  }
+  if (!shared_->budget->has_room_for(size)) {
+    refusal_ = 503;
+    refusal_text_ = out_of_memory_text;
     return false;
   }
   request_ = {head.method, head.target, head.headers, {}};
+  request_.body.reserve(size);
+  input_account_->set_length_known(length.has_value());
   keep_alive_ = head.keep_alive;
   if (has_token(net::find_header(head.headers, "Expect"), "100-continue")) {
     constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -175,7 +212,7 @@
   }
   evbuffer_drain(input, used);
   if (request_.body.size() > shared_->limits.body_bytes) {
-    refuse(413, "the body is too large");
+    refuse(413, too_large_text);
     return false;
   }
   timer_.start_once(shared_->limits.idle_timeout);
@@ -190,7 +227,10 @@
   head_started_ = false;
   timer_.cancel();
   bufferevent_setwatermark(bev_, EV_READ, 0, pipelined_bytes);
-  auto open = std::make_shared<exchange>(weak_from_this(), std::exchange(request_, {}), peer_);
+  // The request may be with an endpoint from now on.
+  input_account_->keep();
+  auto open = std::make_shared<exchange>(weak_from_this(), std::exchange(request_, {}), peer_,
+                                         std::exchange(input_account_, make_input_account()));
   exchange_ = open;
   shared_->handler(std::move(open));
 }
@@ -199,6 +239,8 @@
   keep_alive_ = false;
   phase_ = phase::answering;
   timer_.cancel();
+  release_memory(request_.body);
+  input_account_->set(0);
   send_whole(shared_->refuse(status, message));
 }
 
@@ -218,9 +260,9 @@
   bufferevent_write(bev_, head.data(), head.size());
 }
 
-void server_connection::send_whole(const response& it) {
+void server_connection::send_whole(response it) {
   write_head(it, false);
-  bufferevent_write(bev_, it.body.data(), it.body.size());
+  write_body(bev_, std::move(it.body));
   end_response();
 }
 
@@ -272,6 +314,8 @@
   timer_.cancel();
   bufferevent_disable(bev_, EV_READ | EV_WRITE);
   bufferevent_setcb(bev_, nullptr, nullptr, nullptr, nullptr);
+  input_account_->set(0);
+  output_account_.set(0);
   shared_->on_closed(*this);
 }
 
--- a/libs/http1/server_connection.h
+++ b/libs/http1/server_connection.h
@@ -3,15 +3,19 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <event2/util.h>
 
+#include "http1/byte_budget.h"
 #include "http1/exchange.h"
 #include "http1/message.h"
 #include "http1/parser.h"
 #include "net/event_loop.h"
 
 struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
 
 namespace boragedoor::http1 {
 
@@ -33,6 +37,7 @@
   /// Makes the response to a message that breaks the protocol or a limit.
   std::function<response(int status, std::string_view message)> refuse;
   server_limits limits;
+  std::shared_ptr<byte_budget> budget;
   /// Responses announce the end of their connection.
   bool draining = false;
 };
@@ -48,7 +53,7 @@
   server_connection(server_connection&&) = delete;
   server_connection& operator=(server_connection&&) = delete;
 
-  void send_whole(const response& it);
+  void send_whole(response it);
   void send_start(const response& it);
   void send_chunk(std::string_view data);
   void send_end();
@@ -67,7 +72,9 @@
   static void on_read(bufferevent* bev, void* self);
   static void on_write(bufferevent* bev, void* self);
   static void on_event(bufferevent* bev, short what, void* self);
+  static void on_output(evbuffer* output, const evbuffer_cb_info* info, void* self);
 
+  std::unique_ptr<byte_account> make_input_account();
   void read_input();
   bool read_head();
   bool read_body();
@@ -90,8 +97,11 @@
   bool keep_alive_ = true;
   bool message_done_ = false;
   int refusal_ = 0;
+  std::string_view refusal_text_;
   bool chunked_ = false;
   std::weak_ptr<exchange> exchange_;
+  std::unique_ptr<byte_account> input_account_;
+  byte_account output_account_;
 };
 
 } // namespace boragedoor::http1
--- a/libs/instance/endpoint_calls.cpp
+++ b/libs/instance/endpoint_calls.cpp
@@ -148,6 +148,8 @@
     spec.connect_timeout = connect_timeout;
     spec.progress_timeout = request_.progress_timeout;
     spec.new_connection = request_.new_connection;
+    spec.max_body_bytes = request_.max_body_bytes;
+    spec.collect_body = request_.collect_body;
     return spec;
   }
 
@@ -398,7 +400,8 @@
       .attempt = std::string(net::find_header(received.headers, attempt_header)),
       .message = [message = std::move(message)] { return message; },
       .progress_timeout = forward_timeout,
-      .new_connection = net::find_header(received.headers, connection_header) == new_connection};
+      .new_connection = net::find_header(received.headers, connection_header) == new_connection,
+      .max_body_bytes = max_forwarded_bytes};
   // Dropped with the callbacks, however the request ends.
   ++open_forwards_;
   const std::shared_ptr<void> open(nullptr, [this, alive = alive_](void*) {
--- a/libs/instance/endpoint_calls.h
+++ b/libs/instance/endpoint_calls.h
@@ -36,6 +36,8 @@
   /// See `http1::call_spec`.
   duration progress_timeout{};
   bool new_connection = false;
+  std::size_t max_body_bytes = http1::call_spec().max_body_bytes;
+  bool collect_body = true;
 };
 
 /// The process of an endpoint to which a request of another instance is forwarded.
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -72,6 +72,11 @@
         fingerprint_(requests::request_fingerprint(route_.workspace,
                                                    request_.host + exchange_->received().target,
                                                    exchange_->received().body)),
+        failure_account_(context_.budget, http1::byte_use::response_body, exchange_->peer(),
+                         [this] {
+                           endpoint_failure_.reset();
+                           failure_account_.set(0);
+                         }),
         deadline_timer_(context_.loop, [this] { on_deadline(); }),
         hedge_timer_(context_.loop, [this] { on_hedge(); }),
         permit_timer_(context_.loop, [this] { on_permit_timeout(); }),
@@ -161,7 +166,9 @@
     http1::response head;
     std::string data;
     /// Set if the stream has ended.
-    std::optional<http1::call_outcome> end;
+    std::optional<http1::call_outcome> end{};
+    /// Whether part of it was dropped, so that it cannot be continued.
+    bool too_large = false;
   };
   struct attempt {
     std::string endpoint;
@@ -288,7 +295,8 @@
         .progress_timeout = plan_.deadline() - now + connect_timeout,
         // A request that is not idempotent must not be sent on a connection that the server may be
         // closing, because it would be unknown whether it ran.
-        .new_connection = !idempotent};
+        .new_connection = !idempotent,
+        .max_body_bytes = max_forwarded_bytes};
     plan_.record_sent(chosen->id);
     context_.note_sent(chosen->id, attempts_.empty() ? "request" : "hedge");
     attempts_.push_back(it);
@@ -333,7 +341,7 @@
       it->streaming = true;
       http1::response started{head.status, context_.protocol.forwarded_headers(head), {}};
       if (request_.continues_stream) {
-        it->unverified = {std::move(started), {}, {}};
+        it->unverified = {.head = std::move(started), .data = {}};
         verify(it);
         return true;
       }
@@ -362,7 +370,7 @@
 
   void on_verified(const std::shared_ptr<attempt>& it, process_verdict verdict) {
     const unverified_stream stream = *std::exchange(it->unverified, std::nullopt);
-    if (verdict == process_verdict::confirmed) {
+    if (verdict == process_verdict::confirmed && !stream.too_large) {
       exchange_->start(stream.head);
       exchange_->send_chunk(stream.data);
       if (stream.end) {
@@ -379,7 +387,7 @@
       context_.endpoints.note_misdirected(it->endpoint);
     }
     context_.record(event_number::attempt_failed, request_.attempt_id, it->endpoint,
-                    {{"reason", "process_not_verified"},
+                    {{"reason", stream.too_large ? "too_large" : "process_not_verified"},
                      {"verdict", to_string(verdict)},
                      {"process", it->process.start_ms},
                      {"software", it->software}});
@@ -395,7 +403,11 @@
 
   void on_data(attempt& it, std::string_view data) {
     if (it.unverified) {
-      it.unverified->data += data;
+      if (it.unverified->data.size() + data.size() > max_unverified_bytes) {
+        it.unverified->too_large = true;
+      } else {
+        it.unverified->data += data;
+      }
     } else if (it.streaming) {
       exchange_->send_chunk(data);
     }
@@ -421,6 +433,7 @@
     }
     if (result == dispatch::attempt_result::failed) {
       endpoint_failure_ = std::move(response);
+      failure_account_.set(endpoint_failure_->body.size());
     }
     take_next_step(plan_.record_result(result, context_.loop.now()));
   }
@@ -528,7 +541,7 @@
     cancel_attempts();
     response.headers = context_.protocol.forwarded_headers(response);
     const int status = response.status;
-    exchange_->respond(response);
+    exchange_->respond(std::move(response));
     finish_request(status, "answered", it.endpoint);
   }
 
@@ -545,9 +558,11 @@
   /// `retry_after` is the time after which an endpoint may take the request, if it is known.
   void respond_with_failure(duration retry_after = duration::zero()) {
     if (endpoint_failure_) {
+      const int status = endpoint_failure_->status;
       endpoint_failure_->headers = context_.protocol.forwarded_headers(*endpoint_failure_);
-      exchange_->respond(*endpoint_failure_);
-      finish_request(endpoint_failure_->status, "endpoint_error");
+      exchange_->respond(*std::exchange(endpoint_failure_, std::nullopt));
+      failure_account_.set(0);
+      finish_request(status, "endpoint_error");
       return;
     }
     if (is_held()) {
@@ -668,6 +683,7 @@
   std::vector<std::shared_ptr<attempt>> attempts_;
   /// The last error response of an endpoint, forwarded if no attempt succeeds.
   std::optional<http1::response> endpoint_failure_;
+  http1::byte_account failure_account_;
   bool usage_counted_ = false;
   time_point start_time_ = context_.loop.now();
   net::timer deadline_timer_;
--- a/libs/instance/instance_context.h
+++ b/libs/instance/instance_context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -35,6 +36,8 @@
 /// State shared by all tasks of a process. It outlives the tasks.
 struct instance_context {
   net::event_loop& loop;
+  /// Limits the bytes of messages that this process holds.
+  std::shared_ptr<http1::byte_budget> budget;
   http1::client& calls;
   /// Carries requests to endpoints. Orders to them go through `calls`, because a receiver takes one
   /// from another instance for that of another holder.
--- a/libs/instance/job_peer.cpp
+++ b/libs/instance/job_peer.cpp
@@ -86,8 +86,8 @@
 
 } // namespace
 
-job_peer::job_peer(net::event_loop& loop, member_task& members, handlers own_handlers)
-    : members_(members), calls_(loop), handlers_(std::move(own_handlers)) {}
+job_peer::job_peer(instance_context& context, member_task& members, handlers own_handlers)
+    : members_(members), calls_(context.loop, context.budget), handlers_(std::move(own_handlers)) {}
 
 void job_peer::send(std::string_view member, http1::request message, duration timeout,
                     response_callback done) {
@@ -103,6 +103,7 @@
   spec.message = std::move(message);
   spec.connect_timeout = connect_timeout;
   spec.progress_timeout = timeout;
+  spec.max_body_bytes = max_instance_answer_bytes;
   http1::call_callbacks callbacks;
   callbacks.on_end = std::move(done);
   calls_.send(std::move(spec), std::move(callbacks));
--- a/libs/instance/job_peer.h
+++ b/libs/instance/job_peer.h
@@ -51,7 +51,7 @@
         receive_texts;
   };
 
-  job_peer(net::event_loop& loop, member_task& members, handlers own_handlers);
+  job_peer(instance_context& context, member_task& members, handlers own_handlers);
 
   /// Reads results from a member. Passes nullopt to `done` if the member does not respond or does
   /// not run the job.
--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -233,7 +233,8 @@
                  .time_left = std::clamp<duration>(left, milliseconds(1), run_timeout)});
           },
       .repeatable = true,
-      .progress_timeout = stream_timeout};
+      .progress_timeout = stream_timeout,
+      .max_body_bytes = max_item_stream_bytes};
   context_.note_sent(chosen->id, "item");
   run_.started(n, {chosen->id, chosen->software, chosen->process_start_ms}, now);
   runs_[n] = it;
@@ -356,7 +357,11 @@
     return;
   }
   if (it.unverified) {
-    it.unverified->data += data;
+    if (it.unverified->data.size() + data.size() > max_unverified_bytes) {
+      reject(it, jobs::run_outcome::broken);
+    } else {
+      it.unverified->data += data;
+    }
     return;
   }
   const bool readable = it.reader.feed(data, [this, &it](const jobs::stream_event& event) {
@@ -573,7 +578,9 @@
                                                                  .time_left = reward_timeout});
                                },
                            .repeatable = true,
-                           .progress_timeout = reward_timeout};
+                           .progress_timeout = reward_timeout,
+                           // The score is a header field.
+                           .collect_body = false};
   context_.note_sent(chosen->id, "reward");
   run_.reward_started(n);
   rewards_[n] = it;
--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -41,7 +41,7 @@
 job_service::job_service(instance_context& context, member_task& members,
                          endpoint_verifier& verifier)
     : context_(context), members_(members), verifier_(verifier), store_(context),
-      peer_(context.loop, members,
+      peer_(context, members,
             {.read =
                  [this](const std::string& job, std::size_t after, duration wait,
                         std::function<void(std::optional<job_listing>)> done) {
--- a/libs/instance/job_store.cpp
+++ b/libs/instance/job_store.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include "base/release_memory.h"
 #include "jobs/job_documents.h"
 
 namespace boragedoor::instance {
@@ -188,7 +189,7 @@
                  }
                  for (jobs::item_result& it : page.value().results) {
                    // Only the ids are needed to continue the job; the texts stay in the store.
-                   it.text = std::string();
+                   release_memory(it.text);
                    into->listed.push_back(std::move(it));
                  }
                  if (page.value().next == after) {
--- a/libs/instance/permit_task.cpp
+++ b/libs/instance/permit_task.cpp
@@ -70,7 +70,7 @@
 } // namespace
 
 permit_task::permit_task(instance_context& context, member_task& members)
-    : context_(context), members_(members), calls_(context.loop),
+    : context_(context), members_(members), calls_(context.loop, context.budget),
       expiry_timer_(context.loop, [this] { expire(); }) {
   context_.endpoints.permits_wanted.connect([this] {
     if (std::exchange(scheduled_, true)) {
--- a/libs/instance/relay_listener.cpp
+++ b/libs/instance/relay_listener.cpp
@@ -11,8 +11,6 @@
 
 /// Longer than the wait of a watch, which is a few seconds. The caller has its own timeout.
 constexpr duration progress_timeout = seconds(5);
-/// Store values have up to one megabyte; their encoding adds a third.
-constexpr std::size_t max_body_bytes = 4UL * 1024 * 1024;
 /// Callers' requests to endpoints have up to the limit of the configuration, and a few more
 /// headers.
 constexpr std::size_t max_header_bytes = 128UL * 1024;
@@ -23,15 +21,15 @@
 } // namespace
 
 relay_listener::relay_listener(net::event_loop& loop, net::address store,
-                               local_handler handle_locally)
-    : client_(loop), store_(std::move(store)), handle_locally_(std::move(handle_locally)) {}
+                               local_handler handle_locally,
+                               std::shared_ptr<http1::byte_budget> budget)
+    : client_(loop, std::move(budget)), store_(std::move(store)), handle_locally_(std::move(handle_locally)) {}
 
-result<std::unique_ptr<relay_listener>> relay_listener::listen(net::event_loop& loop,
-                                                               const net::address& address,
-                                                               net::address store,
-                                                               local_handler handle_locally) {
+result<std::unique_ptr<relay_listener>>
+relay_listener::listen(net::event_loop& loop, const net::address& address, net::address store,
+                       local_handler handle_locally, std::shared_ptr<http1::byte_budget> budget) {
   std::unique_ptr<relay_listener> it(
-      new relay_listener(loop, std::move(store), std::move(handle_locally)));
+      new relay_listener(loop, std::move(store), std::move(handle_locally), budget));
   auto server = http1::server::listen(
       loop, address,
       [self = it.get()](const auto& exchange) {
@@ -39,18 +37,19 @@
           self->relay(exchange);
         }
       },
-      &listener_refusal);
+      &listener_refusal, std::move(budget));
   if (!server) {
     return server.error();
   }
   it->server_ = std::move(server).value();
-  it->server_->set_limits({.header_bytes = max_header_bytes, .body_bytes = max_body_bytes});
+  it->server_->set_limits({.header_bytes = max_header_bytes, .body_bytes = max_forwarded_bytes});
   return it;
 }
 
 void relay_listener::relay(const std::shared_ptr<http1::exchange>& exchange) {
   http1::call_spec spec;
   spec.target = store_;
+  spec.max_body_bytes = max_store_answer_bytes;
   spec.message = {
       exchange->received().method, exchange->received().target, {}, exchange->received().body};
   for (const auto& [name, value] : exchange->received().headers) {
--- a/libs/instance/relay_listener.h
+++ b/libs/instance/relay_listener.h
@@ -18,17 +18,17 @@
   using local_handler = std::function<bool(const std::shared_ptr<http1::exchange>& exchange)>;
 
   /// Listens on `address`. Fails with `io` if the address is in use.
-  static result<std::unique_ptr<relay_listener>> listen(net::event_loop& loop,
-                                                        const net::address& address,
-                                                        net::address store,
-                                                        local_handler handle_locally);
+  static result<std::unique_ptr<relay_listener>>
+  listen(net::event_loop& loop, const net::address& address, net::address store,
+         local_handler handle_locally, std::shared_ptr<http1::byte_budget> budget = nullptr);
 
   [[nodiscard]] const net::address& local_address() const { return server_->local_address(); }
   /// Whether part of a response is not sent yet.
   [[nodiscard]] bool has_output() const { return server_->has_output(); }
 
 private:
-  relay_listener(net::event_loop& loop, net::address store, local_handler handle_locally);
+  relay_listener(net::event_loop& loop, net::address store, local_handler handle_locally,
+                 std::shared_ptr<http1::byte_budget> budget);
   void relay(const std::shared_ptr<http1::exchange>& exchange);
 
   http1::client client_;
--- a/libs/instance/shared_store.cpp
+++ b/libs/instance/shared_store.cpp
@@ -79,8 +79,9 @@
 }
 
 shared_store::shared_store(net::event_loop& loop, durable_store& store,
-                           std::vector<std::string> prefixes)
-    : loop_(loop), store_(store), client_(loop) {
+                           std::vector<std::string> prefixes,
+                           std::shared_ptr<http1::byte_budget> budget)
+    : loop_(loop), store_(store), client_(loop, std::move(budget)) {
   for (std::string& it : prefixes) {
     prefixes_.try_emplace(std::move(it));
   }
@@ -123,6 +124,7 @@
   spec.message = {"GET", std::move(target), {{"Host", net::to_string(spec.target)}}, {}};
   spec.connect_timeout = connect_timeout;
   spec.progress_timeout = wait + source_timeout_slack;
+  spec.max_body_bytes = max_instance_answer_bytes;
   http1::call_callbacks callbacks;
   callbacks.on_end = [this, alive = alive_, generation = role_generation_, address = spec.target,
                       done = std::move(done)](http1::call_outcome outcome, http1::response it) {
--- a/libs/instance/shared_store.h
+++ b/libs/instance/shared_store.h
@@ -46,7 +46,8 @@
 /// responses, so responses from the source and from the store can be mixed.
 class shared_store : public durable_store {
 public:
-  shared_store(net::event_loop& loop, durable_store& store, std::vector<std::string> prefixes);
+  shared_store(net::event_loop& loop, durable_store& store, std::vector<std::string> prefixes,
+               std::shared_ptr<http1::byte_budget> budget = nullptr);
   ~shared_store() override;
   shared_store(const shared_store&) = delete;
   shared_store& operator=(const shared_store&) = delete;
--- a/libs/jobs/job_run.cpp
+++ b/libs/jobs/job_run.cpp
@@ -4,6 +4,8 @@
 #include <numeric>
 #include <utility>
 
+#include "base/release_memory.h"
+
 namespace boragedoor::jobs {
 
 namespace {
@@ -115,7 +117,7 @@
 }
 
 void job_run::discard_text(tracked_item& it) {
-  it.text.clear();
+  release_memory(it.text);
   it.has_text = false;
   it.last_event.reset();
   it.versions.clear();
@@ -167,6 +169,10 @@
   if (!it.run_verified) {
     it.unverified = routing::endpoint_process{it.endpoint, it.run_process_start_ms};
   }
+  if (it.text.size() + event.data.size() >= options_.max_text_bytes) {
+    discard_text(it);
+    return false;
+  }
   if (it.has_text) {
     it.text += '\n';
   }
@@ -400,7 +406,7 @@
       result.score = std::move(it.score);
     }
     // Releases the memory: texts are most of a job's footprint.
-    it.text = std::string();
+    release_memory(it.text);
     list.push_back(std::move(result));
   }
   return list;
--- a/libs/jobs/job_run.h
+++ b/libs/jobs/job_run.h
@@ -56,6 +56,9 @@
   /// would need to generate it again: this time for each of its events.
   duration continuation_wait_per_event = milliseconds(20);
   duration continuation_retry_delay = milliseconds(50);
+  /// A text that is longer than this is not one: the store takes values of one MiB, which hold a
+  /// result with the other fields.
+  std::size_t max_text_bytes = 768UL * 1024;
   /// A run is moved if its mean event interval exceeds the median of all runs by this factor.
   double slow_factor = 2;
   /// Events that a run needs before its mean event interval is used.
--- a/tests/http1/client_test.cpp
+++ b/tests/http1/client_test.cpp
@@ -87,7 +87,7 @@
 
   SECTION("no more idle connections are kept than allowed") {
     // Guards against an instance that runs out of descriptors after a large job.
-    client frugal(*loop, 1);
+    client frugal(*loop, nullptr, 1);
     int ended = 0;
     callbacks.on_end = [&](call_outcome, const response&) { ++ended; };
     for (const int expected : {2, 4}) {
@@ -137,6 +137,47 @@
     CHECK(call() == call_outcome::malformed);
   }
 
+  SECTION("small chunks whose sizes and extensions outweigh them end the call") {
+    answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (int n = 0; n < 200; ++n) {
+      answer += "1;" + std::string(1000, 'x') + "\r\nx\r\n";
+    }
+    CHECK(call() == call_outcome::malformed);
+    SECTION("but not chunks of one byte without them") {
+      constexpr std::size_t size = 50'000;
+      answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+      for (std::size_t n = 0; n < size; ++n) {
+        answer += "1\r\nx\r\n";
+      }
+      answer += "0\r\n\r\n";
+      CHECK(call() == call_outcome::complete);
+      CHECK(end.it.body.size() == size);
+    }
+  }
+
+  SECTION("a length over the largest size ends the call at its head") {
+    spec.max_body_bytes = 10'000;
+    answer = "HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\n";
+    CHECK(call() == call_outcome::malformed);
+  }
+
+  SECTION("a body that is not wanted is received and dropped") {
+    spec.collect_body = false;
+    CHECK(call() == call_outcome::complete);
+    CHECK(end.it.status == 200);
+    CHECK(end.it.body.empty());
+  }
+
+  SECTION("a body ends with its call when the process holds too many bytes") {
+    client limited(*loop, byte_budget::create(*loop, 200'000));
+    spec.max_body_bytes = 10'000'000;
+    answer = "HTTP/1.1 200 OK\r\n\r\n" + std::string(1'000'000, 'x');
+    limited.send(spec, callbacks);
+    REQUIRE(loop->run_until([&] { return end.outcome.has_value(); }, patience));
+    CHECK(end.outcome == call_outcome::malformed);
+    CHECK(end.it.body.size() < 400'000);
+  }
+
   SECTION("a body without end ends the call at its largest size") {
     spec.max_body_bytes = 10'000;
     answer = "HTTP/1.1 200 OK\r\n\r\n" + std::string(20'000, 'x');
--- a/tests/http1/server_test.cpp
+++ b/tests/http1/server_test.cpp
@@ -111,6 +111,25 @@
     CHECK(requests.empty());
   }
 
+  SECTION("a body for which there is no memory is refused") {
+    auto small = server::listen(
+                     *loop, any_port, [&](const std::shared_ptr<exchange>& it) { it->respond({}); },
+                     &refusal, byte_budget::create(*loop, 200'000))
+                     .value();
+    small->set_limits({.body_bytes = 10'000'000});
+    const auto one = connect_raw(*loop, small->local_address());
+    SECTION("at its head if its length is known") {
+      one->send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n\r\n");
+    }
+    SECTION("while it arrives otherwise") {
+      one->send("POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nfffff\r\n" +
+                std::string(300'000, 'x'));
+    }
+    REQUIRE(loop->run_until([&] { return one->closed_by_peer; }, patience));
+    CHECK(one->received.find("503") != std::string::npos);
+    CHECK(one->received.find("no memory") != std::string::npos);
+  }
+
   SECTION("a caller that is slow with its header fields is refused") {
     server->set_limits({.header_timeout = milliseconds(30)});
     caller->send("GET / HT");
--- a/tests/jobs/job_run_test.cpp
+++ b/tests/jobs/job_run_test.cpp
@@ -54,6 +54,21 @@
 
 } // namespace
 
+// Guards against an engine that sends events without end: its text cannot be listed, and going on
+// behind it at another engine cannot end it.
+TEST_CASE("a text that is longer than the store takes is given up and generated again") {
+  job_run_options options;
+  options.max_text_bytes = 100;
+  job_run run(make_job(1, 1), {}, start, {}, options);
+  run.started(0, {"e1", "s/v1"}, start);
+  REQUIRE(run.accept_version(0, 4));
+  REQUIRE(run.append_event(0, make_event(1, std::string(60, 'x')), start));
+  CHECK_FALSE(run.append_event(0, make_event(2, std::string(60, 'x')), start));
+  run.ended(0, run_outcome::broken, start);
+  CHECK_FALSE(run.last_event(0));
+  CHECK(run.next_item(start + seconds(1)) == 0);
+}
+
 TEST_CASE("items of a job start in order of priority") {
   SECTION("longest first, with groups beyond the desired number last") {
     // A step needs 3 of 4 groups, and is complete when the longest text of these 3 groups
--- a/tests/platform/endless_response_test.cpp
+++ b/tests/platform/endless_response_test.cpp
@@ -1,6 +1,7 @@
 #include <fstream>
 #include <set>
 
+#include "base/heap.h"
 #include "http1/raw_peer.h"
 #include "platform_fixture.h"
 
@@ -60,8 +61,10 @@
   }
 
   void fill() {
+    std::erase_if(answered_, [](const auto* it) { return it->closed_by_peer; });
+    std::erase_if(server_.connections, [](const auto& it) { return it->closed_by_peer; });
     for (http1::raw_connection* const it : answered_) {
-      if (!it->closed_by_peer && it->unsent() < filler_.size()) {
+      if (it->unsent() < filler_.size()) {
         it->send(filler_);
       }
     }
@@ -77,6 +80,7 @@
 /// An instance, a sound service and one whose replicas send bytes without end.
 struct endless_fixture : platform_fixture {
   endless_fixture() {
+    return_large_blocks();
     json configuration = make_configuration(4);
     json faulty = configuration["routes"][0];
     faulty["name"] = "faulty";
--- a/tests/platform/instance_parts.h
+++ b/tests/platform/instance_parts.h
@@ -17,6 +17,7 @@
         store_calls(loop, std::move(store), [](auto, auto, auto) {}),
         log(events::event_log::create({.instance = name, .boot = "b", .path = ""}).value()),
         context{.loop = loop,
+                .budget = http1::byte_budget::create(loop),
                 .calls = calls,
                 .outgoing = outgoing,
                 .store = store_calls,
--- a/tests/platform/job_peer_test.cpp
+++ b/tests/platform/job_peer_test.cpp
@@ -35,7 +35,7 @@
                    .value()),
         parts(loop, store, name),
         members(parts.context, name + ":80", net::to_string(server->local_address()), seconds(3)),
-        peer(loop, members,
+        peer(parts.context, members,
              {.read =
                   [this](const std::string& job, std::size_t after, duration /*wait*/,
                          const std::function<void(std::optional<job_listing>)>& done) {
