Let callers read the refusal of a request that they are still sending

A caller that sends its whole request before it reads, and whose body is refused (413, 408, or 503 for lack of memory), saw a reset instead of the response, and could not know that the request had not run.

Cause: the connection was closed as soon as the response was written. A close with unread input resets the connection.

--- a/libs/http1/server_connection.cpp
+++ b/libs/http1/server_connection.cpp
@@ -1,5 +1,7 @@
 #include "http1/server_connection.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -19,6 +21,9 @@
 /// Input kept while a response is in progress: the start of a next request, not its body.
 constexpr std::size_t pipelined_bytes = 64UL * 1024;
 
+/// How long a caller whose request was refused may go on sending it.
+constexpr duration refused_input_time = seconds(1);
+
 constexpr std::string_view head_end = "\r\n\r\n";
 
 constexpr std::string_view too_large_text = "the body is too large";
@@ -90,7 +95,7 @@
   const auto keep = static_cast<server_connection*>(self)->shared_from_this();
   // A deferred callback may be of an earlier moment, when the output was empty.
   if (keep->phase_ == phase::closing && !keep->has_output()) {
-    keep->close();
+    keep->close_after_output();
   }
 }
 
@@ -110,6 +115,11 @@
 }
 
 void server_connection::read_input() {
+  if (phase_ == phase::closing) {
+    evbuffer* input = bufferevent_get_input(bev_);
+    evbuffer_drain(input, evbuffer_get_length(input));
+    return;
+  }
   bool more = true;
   while (more && (phase_ == phase::head || phase_ == phase::body)) {
     more = phase_ == phase::head ? read_head() : read_body();
@@ -239,8 +249,11 @@
   keep_alive_ = false;
   phase_ = phase::answering;
   timer_.cancel();
+  is_refused_ = true;
   release_memory(request_.body);
   input_account_->set(0);
+  evbuffer* input = bufferevent_get_input(bev_);
+  evbuffer_drain(input, evbuffer_get_length(input));
   send_whole(shared_->refuse(status, message));
 }
 
@@ -297,7 +310,7 @@
     phase_ = phase::closing;
     timer_.start_once(shared_->limits.idle_timeout);
     if (!has_output()) {
-      close();
+      close_after_output();
     }
     return;
   }
@@ -309,6 +322,15 @@
   }
 }
 
+void server_connection::close_after_output() {
+  if (!std::exchange(is_refused_, false)) {
+    close();
+    return;
+  }
+  ::shutdown(bufferevent_getfd(bev_), SHUT_WR);
+  timer_.start_once(refused_input_time);
+}
+
 void server_connection::close() {
   phase_ = phase::closing;
   timer_.cancel();
--- a/libs/http1/server_connection.h
+++ b/libs/http1/server_connection.h
@@ -83,6 +83,10 @@
   void refuse(int status, std::string_view message);
   void write_head(const response& it, bool chunked);
   void end_response();
+  /// Closes the connection once its output is sent. If the caller is still sending a request that
+  /// was refused, reads on for a while, because a close with unread input resets the connection and
+  /// the caller may lose the response.
+  void close_after_output();
   void handle_end();
   void on_timeout();
 
@@ -96,6 +100,8 @@
   request request_;
   bool keep_alive_ = true;
   bool message_done_ = false;
+  /// Whether a request was refused before all of it had arrived.
+  bool is_refused_ = false;
   int refusal_ = 0;
   std::string_view refusal_text_;
   bool chunked_ = false;
--- a/tests/http1/server_test.cpp
+++ b/tests/http1/server_test.cpp
@@ -111,6 +111,20 @@
     CHECK(requests.empty());
   }
 
+  SECTION("a caller gets the refusal of a large body that it goes on sending") {
+    // Guards against a reset of the connection, with which a caller that sends its whole request
+    // before it reads loses the response.
+    const std::string body(8UL * 1024 * 1024, 'x');
+    caller->set_reading(false);
+    caller->send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) +
+                 "\r\n\r\n" + body);
+    REQUIRE(loop->run_until([&] { return caller->unsent() == 0; }, patience));
+    caller->set_reading(true);
+    REQUIRE(expect("the body is too large"));
+    CHECK(caller->received.find("413") != std::string::npos);
+    CHECK(requests.empty());
+  }
+
   SECTION("a body for which there is no memory is refused") {
     auto small = server::listen(
                      *loop, any_port, [&](const std::shared_ptr<exchange>& it) { it->respond({}); },
