Serve other instances a list only if all of its pages are in it

Instances that follow another one could drop the routes or endpoints of the first pages of a list.

Cause: an instance whose role changes between two pages of its own list adds the later pages to an empty copy, which then counts as complete.

A page that is not the first one now counts only behind the first one of the same copy.

--- a/libs/instance/watch_mirror.cpp
+++ b/libs/instance/watch_mirror.cpp
@@ -13,7 +13,7 @@
 } // namespace
 
 void watch_mirror::apply_page(const list_answer& page, bool is_first, time_point now) {
-  if (page.status != store_status::ok) {
+  if (page.status != store_status::ok || (!is_first && !is_listing_)) {
     return;
   }
   if (is_first) {
@@ -28,6 +28,7 @@
   for (const stored_item& it : page.items) {
     items_[it.key] = it;
   }
+  is_listing_ = page.more;
   complete_ = !page.more;
 }
 
@@ -71,6 +72,7 @@
   history_.clear();
   history_start_ = 0;
   as_of_ = 0;
+  is_listing_ = false;
   complete_ = false;
   confirmed_ = false;
 }
--- a/libs/instance/watch_mirror.h
+++ b/libs/instance/watch_mirror.h
@@ -51,6 +51,8 @@
   std::uint64_t as_of_ = 0;
   time_point confirmed_at_{};
   bool confirmed_ = false;
+  /// Whether further pages of the list are to be added.
+  bool is_listing_ = false;
   bool complete_ = false;
 };
 
--- a/tests/platform/watch_mirror_test.cpp
+++ b/tests/platform/watch_mirror_test.cpp
@@ -27,6 +27,20 @@
 
 } // namespace
 
+// Guards against an instance that begins to watch for others in the middle of a list serving only its
+// last pages, so that the others drop the routes or endpoints of the first ones.
+TEST_CASE("a watch mirror takes pages of a list only behind the first one") {
+  watch_mirror mirror;
+  mirror.apply_page({store_status::ok, {make_item("b", 4)}, false, 7}, false, start);
+  CHECK_FALSE(mirror.is_complete());
+  mirror.apply_events({store_status::ok, {}, 9}, start);
+  CHECK_FALSE(mirror.is_fresh(start, limit));
+  mirror.apply_page({store_status::ok, {make_item("a", 3)}, true, 5}, true, start);
+  mirror.clear();
+  mirror.apply_page({store_status::ok, {make_item("b", 4)}, false, 7}, false, start);
+  CHECK_FALSE(mirror.is_complete());
+}
+
 TEST_CASE("a watch mirror holds a copy of a prefix") {
   watch_mirror mirror;
   CHECK_FALSE(mirror.is_complete());
