Move runs to faster engines although one of them cannot be verified

Cause: the search for a run to move stopped at the first one whose process was being verified, or had not answered, and began there again at each tick, so no other run of the job was moved until that one ended.

The choice is a function without network now (jobs/move_choice): a run that was asked holds back itself alone, one more is asked at a time, and one is moved at a time as before. One answer of a process confirms all runs there.

--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -5,6 +5,7 @@
 
 #include "instance/call_limits.h"
 #include "jobs/job_documents.h"
+#include "jobs/move_choice.h"
 
 namespace boragedoor::instance {
 
@@ -511,38 +512,48 @@
     // Free slots go to waiting items first.
     return;
   }
-  for (const std::size_t n : run_.runs_with_events(min_events_before_move)) {
-    const auto found = runs_.find(n);
-    if (found == runs_.end()) {
-      continue;
+  const auto verification = [this](std::size_t n) {
+    if (!run_.unverified_source(n)) {
+      return jobs::run_verification::verified;
     }
-    const std::string current = found->second->endpoint;
+    return runs_.at(n)->move_prepared ? jobs::run_verification::asked
+                                      : jobs::run_verification::not_asked;
+  };
+  const auto has_faster_endpoint = [this, now](std::size_t n) {
+    const std::string& current = runs_.at(n)->endpoint;
     const auto own = context_.endpoints.event_interval(current);
     const auto other = own ? alternative_endpoint(n, current, now) : std::nullopt;
     const auto faster = other ? context_.endpoints.event_interval(other->id) : std::nullopt;
-    if (faster && *faster < *own * max_interval_ratio) {
-      if (run_.unverified_source(n)) {
-        prepare_move(found->second);
-        return;
-      }
-      cancel_run(n, jobs::run_outcome::moved, "faster_engine");
-      // The slot is taken only when the item is restarted, right after this function. Moving one
-      // item at a time prevents two items from being moved to the same slot.
-      return;
-    }
+    return faster && *faster < *own * max_interval_ratio;
+  };
+  std::vector<std::size_t> runs = run_.runs_with_events(min_events_before_move);
+  std::erase_if(runs, [this](std::size_t n) { return !runs_.contains(n); });
+  const jobs::move_choice choice = jobs::choose_move(runs, verification, has_faster_endpoint);
+  if (choice.verify) {
+    prepare_move(runs_.at(*choice.verify));
+  }
+  if (choice.move) {
+    // The slot is taken only when the item is restarted, right after this function.
+    cancel_run(*choice.move, jobs::run_outcome::moved, "faster_engine");
   }
 }
 
 void job_runner::prepare_move(const std::shared_ptr<active_call>& it) {
-  if (std::exchange(it->move_prepared, true)) {
-    return;
-  }
+  it->move_prepared = true;
   verify_process(it, [this, it](process_verdict verdict) {
-    if (verdict == process_verdict::confirmed) {
-      run_.confirm_run(it->item);
-      move_to_faster_engines(context_.loop.now());
-      start_ready(context_.loop.now());
+    if (verdict != process_verdict::confirmed) {
+      return;
+    }
+    // The process has run since before these runs were sent to it.
+    for (const auto& [n, run] : runs_) {
+      const auto source = run_.unverified_source(n);
+      if (run->process == it->process && run->software == it->software &&
+          source.value_or(it->process) == it->process) {
+        run_.confirm_run(n);
+      }
     }
+    move_to_faster_engines(context_.loop.now());
+    start_ready(context_.loop.now());
   });
 }
 
