--- a/libs/dispatch/crash_checks.cpp
+++ b/libs/dispatch/crash_checks.cpp
@@ -154,9 +154,8 @@
 
 void crash_checks::forget(std::string_view fingerprint) {
   for (auto& [process, check] : checks_) {
-    std::erase_if(check.attempts, [&](const attempt_state& it) {
-      return it.attempt.fingerprint == fingerprint;
-    });
+    std::erase_if(check.attempts,
+                  [&](const attempt_state& it) { return it.attempt.fingerprint == fingerprint; });
   }
   std::erase_if(checks_, [](const auto& it) { return it.second.attempts.empty(); });
 }
--- a/libs/dispatch/crash_checks.h
+++ b/libs/dispatch/crash_checks.h
@@ -62,8 +62,8 @@
   /// Returns the endpoints that have to be connected to, and notes that this is done.
   [[nodiscard]] std::vector<due_check> take_due(time_point now);
 
-  /// Records how the connection to an endpoint went. `wall` is the time of day. Returns the attempts
-  /// under which the process ended.
+  /// Records how the connection to an endpoint went. `wall` is the time of day. Returns the
+  /// attempts under which the process ended.
   std::vector<broken_attempt> note_checked(const routing::endpoint_process& process,
                                            connection_check state, time_point now, wall_time wall);
 
@@ -78,8 +78,7 @@
   void forget(std::string_view fingerprint);
 
   /// Returns the processes that may have ended under attempts of a request.
-  [[nodiscard]] std::set<routing::endpoint_process>
-  unconfirmed(std::string_view fingerprint) const;
+  [[nodiscard]] std::set<routing::endpoint_process> unconfirmed(std::string_view fingerprint) const;
 
   [[nodiscard]] bool is_empty() const { return checks_.empty(); }
 
--- a/libs/instance/crash_task.cpp
+++ b/libs/instance/crash_task.cpp
@@ -118,9 +118,9 @@
                      {"process", it.process.start_ms},
                      {"evidence", evidence}});
     const std::vector<std::string> running = {it.fingerprint};
-    auto records = suspects_.record_crash(context_.loop.now(), context_.stable_wall_now(),
-                                          it.process.endpoint,
-                                          std::to_string(it.process.start_ms), running);
+    auto records =
+        suspects_.record_crash(context_.loop.now(), context_.stable_wall_now(), it.process.endpoint,
+                               std::to_string(it.process.start_ms), running);
     for (requests::crash_record& one : records) {
       if (key_of(one).size() > max_key_size) {
         note_not_stored(one, "the key is too long");
@@ -137,10 +137,9 @@
 }
 
 void crash_task::note_not_stored(const requests::crash_record& record, std::string_view reason) {
-  context_.record(events::event_number::crash_not_recorded, {}, record.endpoint,
-                  {{"fingerprint", record.fingerprint},
-                   {"process", record.incarnation},
-                   {"reason", reason}});
+  context_.record(
+      events::event_number::crash_not_recorded, {}, record.endpoint,
+      {{"fingerprint", record.fingerprint}, {"process", record.incarnation}, {"reason", reason}});
 }
 
 bool crash_task::is_held(const std::string& fingerprint) const {
--- a/libs/instance/crash_task.h
+++ b/libs/instance/crash_task.h
@@ -25,7 +25,8 @@
 ///
 /// Design note: the records are in the store, because callers come again at any instance, also
 /// after all instances were killed. A request that completes has its records removed: it ran beside
-/// others at endpoints that crashed. Crashes that are not confirmed yet count at this instance only.
+/// others at endpoints that crashed. Crashes that are not confirmed yet count at this instance
+/// only.
 class crash_task {
 public:
   explicit crash_task(instance_context& context);
--- a/libs/instance/relay_listener.cpp
+++ b/libs/instance/relay_listener.cpp
@@ -23,7 +23,8 @@
 relay_listener::relay_listener(net::event_loop& loop, net::address store,
                                local_handler handle_locally,
                                std::shared_ptr<http1::byte_budget> budget)
-    : client_(loop, std::move(budget)), store_(std::move(store)), handle_locally_(std::move(handle_locally)) {}
+    : client_(loop, std::move(budget)), store_(std::move(store)),
+      handle_locally_(std::move(handle_locally)) {}
 
 result<std::unique_ptr<relay_listener>>
 relay_listener::listen(net::event_loop& loop, const net::address& address, net::address store,
--- a/tests/dispatch/crash_checks_test.cpp
+++ b/tests/dispatch/crash_checks_test.cpp
@@ -51,8 +51,8 @@
 
   SECTION("and counts until the opposite is known if this instance cannot find out") {
     CHECK(it.unconfirmed("fingerprint").empty());
-    CHECK(it.note_checked(process, connection_check::unknown, start, wall_after(seconds(5)))
-              .empty());
+    CHECK(
+        it.note_checked(process, connection_check::unknown, start, wall_after(seconds(5))).empty());
     CHECK(it.unconfirmed("fingerprint") == std::set{process});
     CHECK(it.unconfirmed("another").empty());
     CHECK(it.take_due(start + milliseconds(100)).empty());
@@ -65,9 +65,8 @@
                                           wall_after(seconds(5)))) == ids{"a1"});
       }
       SECTION("that is taken") {
-        CHECK(
-            it.note_checked(process, connection_check::connected, later, wall_after(seconds(5)))
-                .empty());
+        CHECK(it.note_checked(process, connection_check::connected, later, wall_after(seconds(5)))
+                  .empty());
         CHECK(it.unconfirmed("fingerprint").empty());
       }
     }
--- a/tests/jobs/move_choice_test.cpp
+++ b/tests/jobs/move_choice_test.cpp
@@ -50,9 +50,9 @@
 
 } // namespace
 
-// Guards against a step that stays at slow endpoints because the process of one of its runs does not
-// say what it runs. Load: the last texts of a step, at endpoints of different speed, with slots of
-// the fastest ones free again.
+// Guards against a step that stays at slow endpoints because the process of one of its runs does
+// not say what it runs. Load: the last texts of a step, at endpoints of different speed, with slots
+// of the fastest ones free again.
 TEST_CASE("runs move to faster endpoints although one of them cannot be verified") {
   constexpr std::size_t count = 20;
   slow_step it(count);
--- a/tests/platform/crashing_request_test.cpp
+++ b/tests/platform/crashing_request_test.cpp
@@ -59,8 +59,8 @@
   }
 }
 
-// Guards against a crashing request that is sent on and on because an endpoint that fails answers it
-// now and then.
+// Guards against a crashing request that is sent on and on because an endpoint that fails answers
+// it now and then.
 TEST_CASE("an error of an endpoint does not show that a request crashes none") {
   constexpr int rounds = 8;
   crash_fixture it;
--- a/tests/platform/endless_response_test.cpp
+++ b/tests/platform/endless_response_test.cpp
@@ -93,8 +93,7 @@
     configuration["services"].push_back({{"name", "faulty"}});
     configuration["limits"]["max_body_bytes"] = 32 * mebibyte;
     store.put("op/config", configuration);
-    REQUIRE(
-        loop->run_until([&] { return first->context().routes.version() == 4; }, wait_limit));
+    REQUIRE(loop->run_until([&] { return first->context().routes.version() == 4; }, wait_limit));
   }
 
   void add_replicas(const std::string& start, const std::string& filler) {
@@ -114,8 +113,7 @@
                  {"born", 1}});
     }
     REQUIRE(loop->run_until(
-        [&] { return first->context().endpoints.available_count("faulty") == count; },
-        wait_limit));
+        [&] { return first->context().endpoints.available_count("faulty") == count; }, wait_limit));
   }
 
   /// Lets the trouble go on, with sound requests beside it, each of which must be answered.
@@ -150,8 +148,8 @@
 
 } // namespace
 
-// Guards against an instance that runs out of memory because peers send bytes without end, or do not
-// read theirs, and ends with the requests of all others.
+// Guards against an instance that runs out of memory because peers send bytes without end, or do
+// not read theirs, and ends with the requests of all others.
 TEST_CASE("an instance keeps within its memory whatever its peers send") {
   constexpr int requests = 16;
   endless_fixture it;
@@ -184,8 +182,9 @@
     it.add_replicas("\r\n", filler);
     const std::string job = to_text(make_job());
     for (int n = 0; n < requests / 4; ++n) {
-      CHECK(it.call(*it.first, "POST", "/jobs/x", job, "key-n", "job-" + std::to_string(n))
-                .status == 202);
+      CHECK(
+          it.call(*it.first, "POST", "/jobs/x", job, "key-n", "job-" + std::to_string(n)).status ==
+          202);
     }
     it.check_sound_requests();
   }
--- a/tests/platform/unconfirmed_crash_test.cpp
+++ b/tests/platform/unconfirmed_crash_test.cpp
@@ -3,8 +3,8 @@
 namespace boragedoor::platform {
 
 // Guards against a request that crashes the last endpoints of a service being sent to each process
-// that comes back, because the instance takes the service that is down for lost links of its own and
-// does not count the crashes.
+// that comes back, because the instance takes the service that is down for lost links of its own
+// and does not count the crashes.
 TEST_CASE("a crash counts although the other endpoints of the service are down") {
   crash_fixture it;
   const auto crash_some = [&](int count) {
