Stop serving a copy of the store before changes in it are overdue

An instance that is in touch with the store could handle requests by a configuration, or send to a draining endpoint, 2.3 to 2.7 s after the change was confirmed, where two seconds are allowed on the smaller sites.

Cause: where five instances or more share one watch, the watching one served its copy for 2.6 s after it had read the last answer, and found the loss of its way to the store only when its call timed out, after 2.3 s. Each bound was below the deadline by itself, their sum was not.

A copy counts from when the store wrote the answer and is served for 1.75 s; calls that wait on it end then. The watches of a copy wait so long that it is confirmed every 1.5 s, also after a pause (0.4 s) or when the store is slow.

--- a/libs/instance/shared_store.cpp
+++ b/libs/instance/shared_store.cpp
@@ -17,9 +17,21 @@
 constexpr std::string_view list_path = "/shared/list";
 constexpr std::string_view watch_path = "/shared/watch";
 
-/// Wait of a store watch whose changes are passed on to other instances. Including its timeout, a
-/// watch that the network lost ends before the deadline for a change to take effect.
-constexpr duration shared_watch_wait = milliseconds(1500);
+/// Time in which a confirmed change must take effect at all instances.
+constexpr duration change_deadline = seconds(2);
+/// Interval at which the store confirms a copy that is served to other instances.
+constexpr duration confirm_interval = milliseconds(1500);
+/// Shortest wait of a watch call that confirms such a copy.
+constexpr duration min_shared_wait = milliseconds(100);
+/// A copy that the store has not confirmed within this time is not served to other instances: the
+/// way to the store may be lost, which shows only when the call times out. It covers a confirmation
+/// that is late.
+constexpr duration max_unconfirmed_time = milliseconds(1750);
+/// Time in which an instance whose source serves no copy gets the changes from the store.
+constexpr duration store_fallback_time = milliseconds(250);
+static_assert(confirm_interval < max_unconfirmed_time);
+static_assert(max_unconfirmed_time + store_fallback_time <= change_deadline);
+
 /// Wait of a watch sent to another instance. Short, because an unresponsive instance is only
 /// detected when the watch times out.
 constexpr duration source_watch_wait = seconds(1);
@@ -27,11 +39,6 @@
 /// Delay before an unresponsive source is called again. Its member entry expires after three
 /// seconds.
 constexpr duration source_retry_delay = seconds(1);
-/// A mirror that the store has not confirmed within this time is not served to other instances. It
-/// covers one wait, the timeout of the call and the pause between two calls.
-constexpr duration max_unconfirmed_time = milliseconds(2600);
-static_assert(max_unconfirmed_time <= max_lost_watch_time);
-
 /// Pauses between two watch calls. A draining endpoint must receive no more requests after two
 /// seconds; the maximum pause uses half of that. The pause of an instance that watches for others
 /// plus the pause of an instance that follows it stays below the maximum.
@@ -176,19 +183,19 @@
     store_.list(prefix, after, std::move(done));
     return;
   }
-  store_.list(prefix, after,
-              [this, alive = alive_, entry, generation = role_generation_, first = after.empty(),
-               done = std::move(done)](list_answer it) {
-                if (!*alive) {
-                  return;
-                }
-                if (generation == role_generation_ &&
-                    std::holds_alternative<watch_for_others>(role_)) {
-                  entry->mirror.apply_page(it, first, loop_.now());
-                }
-                entry->last_revision = std::max(entry->last_revision, it.as_of);
-                done(std::move(it));
-              });
+  store_.list(
+      prefix, after,
+      [this, alive = alive_, entry, generation = role_generation_, first = after.empty(),
+       sent_at = loop_.now(), done = std::move(done)](list_answer it) {
+        if (!*alive) {
+          return;
+        }
+        if (generation == role_generation_ && std::holds_alternative<watch_for_others>(role_)) {
+          entry->mirror.apply_page(it, first, {.sent_at = sent_at, .answered_at = loop_.now()});
+        }
+        entry->last_revision = std::max(entry->last_revision, it.as_of);
+        done(std::move(it));
+      });
 }
 
 void shared_store::watch(const std::string& prefix, std::uint64_t after, duration wait,
@@ -239,22 +246,28 @@
     });
     return;
   }
-  store_.watch(prefix, after, serves ? std::min(wait, shared_watch_wait) : wait,
-               [this, alive = alive_, &entry, generation = role_generation_, serves,
-                done = std::move(done)](watch_answer it) {
+  const time_point now = loop_.now();
+  if (serves) {
+    wait = std::min(wait, entry.mirror.next_wait(now, confirm_interval, min_shared_wait));
+  }
+  store_.watch(prefix, after, wait,
+               [this, alive = alive_, &entry, generation = role_generation_, serves, wait,
+                sent_at = now, done = std::move(done)](watch_answer it) {
                  if (!*alive) {
                    return;
                  }
                  entry.last_revision = std::max(entry.last_revision, it.as_of);
                  if (serves && generation == role_generation_) {
-                   apply_watch_answer(entry, it);
+                   apply_watch_answer(
+                       entry, it, {.sent_at = sent_at, .wait = wait, .answered_at = loop_.now()});
                  }
                  done(std::move(it));
                });
 }
 
-void shared_store::apply_watch_answer(shared_prefix& entry, const watch_answer& it) {
-  entry.mirror.apply_events(it, loop_.now());
+void shared_store::apply_watch_answer(shared_prefix& entry, const watch_answer& it,
+                                      const call_times& times) {
+  entry.mirror.apply_events(it, times);
   if (it.status == store_status::ok) {
     answer_pending(entry);
     return;
@@ -266,6 +279,10 @@
   }
 }
 
+bool shared_store::is_fresh(const shared_prefix& entry) const {
+  return entry.mirror.is_fresh(loop_.now(), max_unconfirmed_time);
+}
+
 bool shared_store::answer(const std::shared_ptr<http1::exchange>& exchange) {
   const std::string& target = exchange->received().target;
   const std::string_view path = http1::path_of(target);
@@ -274,8 +291,7 @@
   }
   shared_prefix* const entry =
       find(http1::query_parameter(target, "prefix").value_or(std::string()));
-  if (entry == nullptr || !std::holds_alternative<watch_for_others>(role_) ||
-      !entry->mirror.is_fresh(loop_.now(), max_unconfirmed_time)) {
+  if (entry == nullptr || !std::holds_alternative<watch_for_others>(role_) || !is_fresh(*entry)) {
     exchange->respond(not_watching_response());
   } else if (path == list_path) {
     exchange->respond(
@@ -294,11 +310,28 @@
     return;
   }
   const std::uint64_t id = ++last_pending_id_;
-  entry.pending.emplace(id, pending_watch{after, exchange});
+  entry.pending.emplace(
+      id, pending_watch{after, exchange, loop_.now() + std::min(wait, source_watch_wait)});
   exchange->on_left([&entry, id] { entry.pending.erase(id); });
-  loop_.post_after(std::min(wait, source_watch_wait), [this, alive = alive_, &entry, id] {
+  schedule_end(entry, id);
+}
+
+void shared_store::schedule_end(shared_prefix& entry, std::uint64_t id) {
+  const auto it = entry.pending.find(id);
+  if (it == entry.pending.end()) {
+    return;
+  }
+  // Once the copy is not fresh any more, the other instance has to call the store.
+  const time_point now = loop_.now();
+  const duration left =
+      std::min(it->second.ends_at - now, entry.mirror.fresh_for(now, max_unconfirmed_time));
+  if (left <= duration::zero()) {
+    end_pending(entry, id);
+    return;
+  }
+  loop_.post_after(left, [this, alive = alive_, &entry, id] {
     if (*alive) {
-      end_pending(entry, id);
+      schedule_end(entry, id);
     }
   });
 }
@@ -324,7 +357,7 @@
   }
   const pending_watch ended = std::move(it->second);
   entry.pending.erase(it);
-  if (entry.mirror.is_fresh(loop_.now(), max_unconfirmed_time)) {
+  if (is_fresh(entry)) {
     ended.exchange->respond(
         to_response({store_status::ok, {}, std::max(ended.after, entry.mirror.as_of())}));
   } else {
--- a/libs/instance/shared_store.h
+++ b/libs/instance/shared_store.h
@@ -74,6 +74,7 @@
   struct pending_watch {
     std::uint64_t after = 0;
     std::shared_ptr<http1::exchange> exchange;
+    time_point ends_at{};
   };
   struct shared_prefix {
     watch_mirror mirror;
@@ -90,9 +91,13 @@
                   std::function<void(list_answer)> done);
   void watch_store(const std::string& prefix, std::uint64_t after, duration wait,
                    std::function<void(watch_answer)> done);
-  void apply_watch_answer(shared_prefix& entry, const watch_answer& it);
+  void apply_watch_answer(shared_prefix& entry, const watch_answer& it, const call_times& times);
+  /// Whether the copy may be served to other instances.
+  [[nodiscard]] bool is_fresh(const shared_prefix& entry) const;
   void answer_watch(shared_prefix& entry, std::uint64_t after, duration wait,
                     const std::shared_ptr<http1::exchange>& exchange);
+  /// Ends a pending watch when its time is over, or when the copy is not fresh any more.
+  void schedule_end(shared_prefix& entry, std::uint64_t id);
   void answer_pending(shared_prefix& entry);
   void end_pending(shared_prefix& entry, std::uint64_t id);
 
--- a/libs/instance/watch_mirror.cpp
+++ b/libs/instance/watch_mirror.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-void watch_mirror::apply_page(const list_answer& page, bool is_first, time_point now) {
+void watch_mirror::apply_page(const list_answer& page, bool is_first, const call_times& times) {
   if (page.status != store_status::ok || (!is_first && !is_listing_)) {
     return;
   }
@@ -22,7 +22,7 @@
     // and repeats the changes made since.
     as_of_ = page.as_of;
     history_start_ = page.as_of;
-    confirmed_at_ = now;
+    confirmed_at_ = times.confirmed_at();
     confirmed_ = true;
   }
   for (const stored_item& it : page.items) {
@@ -32,7 +32,7 @@
   complete_ = !page.more;
 }
 
-void watch_mirror::apply_events(const watch_answer& answer, time_point now) {
+void watch_mirror::apply_events(const watch_answer& answer, const call_times& times) {
   if (answer.status == store_status::missing) {
     clear();
     return;
@@ -44,7 +44,10 @@
     apply(it);
   }
   as_of_ = std::max(as_of_, answer.as_of);
-  confirmed_at_ = now;
+  if (answer.events.empty()) {
+    answer_delay_ = times.answered_at - times.confirmed_at();
+  }
+  confirmed_at_ = std::max(confirmed_at_, times.confirmed_at());
   confirmed_ = true;
 }
 
@@ -81,6 +84,17 @@
   return complete_ && confirmed_ && now - confirmed_at_ <= limit;
 }
 
+duration watch_mirror::fresh_for(time_point now, duration limit) const {
+  return is_fresh(now, limit) ? confirmed_at_ + limit - now : duration::zero();
+}
+
+duration watch_mirror::next_wait(time_point now, duration interval, duration shortest) const {
+  if (!complete_ || !confirmed_) {
+    return shortest;
+  }
+  return std::clamp(confirmed_at_ + interval - answer_delay_ - now, shortest, interval);
+}
+
 list_answer watch_mirror::list() const {
   list_answer answer{.status = store_status::ok, .items = {}, .more = false, .as_of = as_of_};
   answer.items.reserve(items_.size());
--- a/tests/platform/shared_store_test.cpp
+++ b/tests/platform/shared_store_test.cpp
@@ -24,7 +24,9 @@
 /// An instance that follows the prefix "p/" through a shared store.
 struct follower {
   follower(net::event_loop& event_loop, const net::address& store)
-      : loop(event_loop), client(event_loop, store, [](auto, auto, auto) {}),
+      : loop(event_loop),
+        client(event_loop, store,
+               [this](auto, auto, std::string_view reason) { failed_calls += !reason.empty(); }),
         shared(event_loop, client, {"p/"}),
         relay(instance::relay_listener::listen(
                   event_loop, {"127.0.0.1", 0}, store,
@@ -39,6 +41,7 @@
   }
 
   net::event_loop& loop;
+  int failed_calls = 0;
   store_client client;
   instance::shared_store shared;
   std::unique_ptr<instance::relay_listener> relay;
@@ -115,6 +118,24 @@
     CHECK_FALSE(watcher.items.contains("p/2"));
   }
 
+  SECTION("a copy that the store does not confirm is withheld before the store call times out") {
+    // The watching instance loses its way to the store without notice, right after an answer. Its
+    // own call fails only after the time in which a change must take effect.
+    other.shared.set_role(instance::watch_through{watcher.relay->local_address()});
+    // The following instance ends its own watch with the first of these changes.
+    for (const std::string key : {"p/2", "p/3"}) {
+      store.put(key, 0);
+      until([&] { return other.items.contains(key) && watcher.items.contains(key); });
+    }
+    const int calls = store.calls("/kv-watch");
+    store.set_fault(store_fault::silent);
+    store.put("p/4", 0);
+    until([&] { return other.items.contains("p/4") && store.calls("/kv-watch") > calls; });
+    store.put("p/5", 0);
+    until([&] { return other.items.contains("p/5"); });
+    CHECK(watcher.failed_calls == 0);
+  }
+
   SECTION("a list older than the last known revision is ignored") {
     // An instance follows the store directly, then calls an instance whose copy is older.
     until([&] { return other.items.contains("p/1"); });
