Run a job again that came back to a member that had lost it

A trainer's accepted job was run by nobody after an instance that had lost it (it stood still, another one took it over) got it back when that one stopped.

Cause: a member remembered each job whose runner was done, so that a job with all results stored is not loaded again. It did so also for a runner that had been stopped because another member took the job, and forgot it only when the job ended.

What a member knows of a job counts for one revision of its record now, and a runner that was stopped leaves nothing behind (jobs/job_ownership, without network). On the same path: a runner that finds other results at its position stops, and reads the record, which says whether the job is still its own.

--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -83,9 +83,9 @@
   }
 }
 
-bool job_runner::is_done() const {
-  return stopped_ || (run_.all_finished() && !chunk_ &&
-                      context_.stable_wall_now() >= run_.contents().give_up + result_retention);
+bool job_runner::is_complete() const {
+  return run_.all_finished() && !chunk_ &&
+         context_.stable_wall_now() >= run_.contents().give_up + result_retention;
 }
 
 std::optional<std::vector<jobs::item_result>> job_runner::results(std::size_t after) const {
@@ -692,6 +692,7 @@
     if (present != out.found.end() && present->value != jobs::to_document(chunk_->results)) {
       // Another member has written different results at this position, so it runs the job now.
       stop();
+      store_.read_record(job, [](const result<stored_record>&) {});
       return;
     }
     // The same chunk is already stored: the response to an earlier write was lost.
--- a/libs/instance/job_runner.h
+++ b/libs/instance/job_runner.h
@@ -45,7 +45,9 @@
   [[nodiscard]] std::optional<std::vector<jobs::item_result>> results(std::size_t after) const;
   /// Whether the runner is stopped, or all results are stored and their retention time after the
   /// job's `give_up` time has passed. Until then, its results are read from this runner.
-  [[nodiscard]] bool is_done() const;
+  [[nodiscard]] bool is_done() const { return stopped_ || is_complete(); }
+  /// Whether all results are stored and their retention time has passed.
+  [[nodiscard]] bool is_complete() const;
   [[nodiscard]] std::size_t running() const { return run_.running(); }
 
 private:
--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -14,8 +14,6 @@
 /// Interval at which items are started and results are written when no response triggers it.
 constexpr duration advance_interval = milliseconds(25);
 constexpr duration takeover_interval = milliseconds(500);
-/// Time after which a load or takeover that has not succeeded is tried again.
-constexpr duration load_retry_delay = seconds(2);
 /// How long a submission with an unknown outcome is retried. Trainers wait 4 s for the response.
 constexpr duration submit_timeout = seconds(3);
 constexpr duration submit_retry_delay = milliseconds(100);
@@ -75,7 +73,7 @@
   }
   for (const auto& [job, known] : store_.records()) {
     if (known.record.ended || known.record.runner != context_.identity.member_id() ||
-        finished_.contains(job)) {
+        ownership_.is_finished(job, known.revision)) {
       continue;
     }
     const duties::member* successor = members_.members().assigned_member(job);
@@ -441,14 +439,14 @@
 }
 
 void job_service::load_and_run(const std::string& job) {
-  loading_[job] = context_.loop.now();
+  ownership_.note_begun(job, context_.loop.now());
   store_.load(job, [this, job](result<loaded_job> loaded) {
     if (!loaded) {
       context_.record(event_number::store_unavailable, job, {},
                       {{"reason", loaded.error().message}});
       return;
     }
-    loading_.erase(job);
+    ownership_.note_succeeded(job);
     const stored_record* known = store_.find(job);
     if (known != nullptr && !known->record.ended &&
         known->record.runner == context_.identity.member_id()) {
@@ -460,7 +458,7 @@
 void job_service::on_record_changed(const std::string& job) {
   const stored_record* known = store_.find(job);
   if (known == nullptr || known->record.ended) {
-    finished_.erase(job);
+    ownership_.forget(job);
   }
   const auto it = runners_.find(job);
   if (it != runners_.end() && (known == nullptr || known->record.ended ||
@@ -489,7 +487,11 @@
     if (!it.second->is_done()) {
       return false;
     }
-    finished_.insert(it.first);
+    // A runner that was stopped has lost the job, which may come back.
+    const stored_record* known = store_.find(it.first);
+    if (known != nullptr && it.second->is_complete()) {
+      ownership_.note_finished(it.first, known->revision);
+    }
     return true;
   });
   complete_waiting_reads(now);
@@ -501,47 +503,54 @@
     return;
   }
   const std::string self = context_.identity.member_id();
-  std::vector<stored_record> to_start;
+  std::vector<std::string> to_load;
+  std::vector<stored_record> to_claim;
   for (const auto& [job, known] : store_.records()) {
     if (known.record.ended || runners_.contains(job)) {
       continue;
     }
-    const auto loading = loading_.find(job);
-    if (loading != loading_.end() && now - loading->second < load_retry_delay) {
-      continue;
-    }
     const duties::member* successor = members_.members().assigned_member(job);
-    const bool own = known.record.runner == self && !finished_.contains(job);
-    const bool inherits =
-        successor != nullptr && successor->id == self &&
-        members_.members().is_gone(known.record.runner, members_.watching_since(), now);
-    // An earlier process of this instance has certainly ended, so there is no need to wait until it
-    // counts as gone.
-    const bool from_earlier_process =
-        known.record.runner != self &&
-        duties::instance_of(known.record.runner) == context_.identity.name;
-    if (own || inherits || from_earlier_process) {
-      to_start.push_back(known);
+    const std::string& runner = known.record.runner;
+    const jobs::ownership_view view{
+        .job = job,
+        .revision = known.revision,
+        .is_runner = runner == self,
+        .is_successor = successor != nullptr && successor->id == self,
+        .runner_is_gone = members_.members().is_gone(runner, members_.watching_since(), now),
+        .runner_is_earlier_process =
+            runner != self && duties::instance_of(runner) == context_.identity.name};
+    switch (ownership_.next_step(view, now)) {
+    case jobs::ownership_step::none:
+      break;
+    case jobs::ownership_step::load:
+      to_load.push_back(job);
+      break;
+    case jobs::ownership_step::claim:
+      to_claim.push_back(known);
+      break;
     }
   }
-  for (const stored_record& known : to_start) {
-    const std::string job = known.record.id;
-    if (known.record.runner == self) {
-      load_and_run(job);
-      continue;
-    }
-    loading_[job] = now;
-    jobs::job_record next = known.record;
-    next.runner = self;
-    store_.replace_record(known, std::move(next), [this, job](const result<stored_record>& out) {
-      if (!out) {
-        store_.read_record(job, [](const result<stored_record>&) {});
-        return;
-      }
-      context_.record(event_number::job_taken_over, job, {});
-      load_and_run(job);
-    });
+  for (const std::string& job : to_load) {
+    load_and_run(job);
   }
+  for (const stored_record& known : to_claim) {
+    claim(known);
+  }
+}
+
+void job_service::claim(const stored_record& known) {
+  const std::string& job = known.record.id;
+  ownership_.note_begun(job, context_.loop.now());
+  jobs::job_record next = known.record;
+  next.runner = context_.identity.member_id();
+  store_.replace_record(known, std::move(next), [this, job](const result<stored_record>& out) {
+    if (!out) {
+      store_.read_record(job, [](const result<stored_record>&) {});
+      return;
+    }
+    context_.record(event_number::job_taken_over, job, {});
+    load_and_run(job);
+  });
 }
 
 } // namespace boragedoor::instance
--- a/libs/instance/job_service.h
+++ b/libs/instance/job_service.h
@@ -4,7 +4,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,6 +15,7 @@
 #include "instance/job_runner.h"
 #include "instance/job_store.h"
 #include "instance/member_task.h"
+#include "jobs/job_ownership.h"
 #include "jobs/partial_text_cache.h"
 
 namespace boragedoor::instance {
@@ -107,6 +107,8 @@
   void advance_runners();
   /// Loads this member's jobs that have no runner, and takes over those of members that are gone.
   void take_over_jobs();
+  /// Writes this member into the record of a job as its runner, then runs the job.
+  void claim(const stored_record& known);
 
   instance_context& context_;
   member_task& members_;
@@ -114,10 +116,7 @@
   job_store store_;
   job_peer peer_;
   std::map<std::string, std::unique_ptr<job_runner>, std::less<>> runners_;
-  /// Jobs that are being loaded or taken over, with the time of the last attempt.
-  std::map<std::string, time_point, std::less<>> loading_;
-  /// Jobs whose runner is done, until their trainer ends them.
-  std::set<std::string, std::less<>> finished_;
+  jobs::job_ownership ownership_;
   std::vector<waiting_read> waiting_reads_;
   jobs::partial_text_cache partial_texts_;
   net::timer advance_timer_;
