Do not use a registry entry that lacks fields

Callers' requests were run by a replica of another service, and its answers passed on as theirs, after another writer had overwritten the replica's entry with one that lacks fields.

Cause: only the fields that the program uses were read. An entry without the others is not the replica's own, and names no endpoint now.

--- a/tests/platform/endpoint_codec_test.cpp
+++ b/tests/platform/endpoint_codec_test.cpp
@@ -62,6 +62,59 @@
     CHECK_FALSE(read_endpoint("servers/i-1", to_text(entry)));
   }
 
+  // Guards against callers' requests that are sent to a replica of another service because another
+  // writer overwrote its entry: such an entry lacks fields, or has them of another type.
+  SECTION("names no endpoint if any field is missing or of another type") {
+    // The last one is beyond what a signed integer holds.
+    const std::vector<json> values = {nullptr,
+                                      true,
+                                      -1,
+                                      1.5,
+                                      "",
+                                      "text",
+                                      "17",
+                                      json::array(),
+                                      json::object(),
+                                      {1, 2},
+                                      1e300,
+                                      std::string(100'000, 'x'),
+                                      {{"value", 17}},
+                                      "v1\n",
+                                      "\x01",
+                                      std::uint64_t{1} << 63};
+    const auto has_same_kind = [](const json& a, const json& b) {
+      return a.type() == b.type() || (a.is_number_integer() && b.is_number_integer() && b >= 0);
+    };
+    for (const auto& [name, value] : entry.items()) {
+      const bool only_for_engines = name == "stage" || name == "models";
+      json other = entry;
+      other.erase(name);
+      INFO("without " << name);
+      CHECK(read_endpoint("servers/i-1", to_text(other)).has_value() == only_for_engines);
+      for (const json& replacement : values) {
+        other = entry;
+        other[name] = replacement;
+        INFO(name << " is " << to_text(replacement).substr(0, 40));
+        if (!has_same_kind(value, replacement) &&
+            !(name == "cold_remaining_ms" && replacement.is_number() &&
+              replacement.get<double>() >= 0)) {
+          CHECK_FALSE(read_endpoint("servers/i-1", to_text(other)));
+        } else {
+          // A value of the right type may be odd; it must not do harm.
+          static_cast<void>(read_endpoint("servers/i-1", to_text(other)));
+        }
+      }
+    }
+    SECTION("as an entry that another writer made from a few fields") {
+      CHECK_FALSE(read_endpoint("servers/i-1", to_text({{"service", "s"},
+                                                        {"address", "10.0.0.9:8080"},
+                                                        {"zone", "z1"},
+                                                        {"version", "v1"},
+                                                        {"slots", 8},
+                                                        {"state", "ready"}})));
+    }
+  }
+
   // Guards against instances that end or stop following the registry because of one odd entry.
   SECTION("names no endpoint if a value is out of range") {
     SECTION("more slots than an int holds") {
