--- a/libs/http1/message_output.cpp
+++ b/libs/http1/message_output.cpp
@@ -26,7 +26,8 @@
     delete static_cast<std::string*>(text);
   };
   if (evbuffer_add_reference(piece.get(), held->data(), held->size(), release, held.get()) == 0) {
-    held.release();
+    // The buffer owns it now.
+    static_cast<void>(held.release());
   }
   bufferevent_write_buffer(to, piece.get());
 }
--- a/libs/instance/crash_task.cpp
+++ b/libs/instance/crash_task.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 #include <set>
 #include <span>
 #include <utility>
@@ -174,8 +173,8 @@
 
 void crash_task::remove_obsolete() {
   store_change change;
-  std::ranges::copy(obsolete_ | std::views::take(max_records_at_once),
-                    std::back_inserter(change.removed));
+  std::copy_n(obsolete_.begin(), std::min(max_records_at_once, obsolete_.size()),
+              std::back_inserter(change.removed));
   context_.store.commit(
       change, [this, alive = alive_, keys = change.removed](const commit_answer& it) {
         if (!*alive) {
--- a/tests/dispatch/crash_checks_test.cpp
+++ b/tests/dispatch/crash_checks_test.cpp
@@ -1,5 +1,10 @@
 #include "dispatch/crash_checks.h"
 
+#include <algorithm>
+#include <iterator>
+#include <string>
+#include <vector>
+
 #include <catch2/catch.hpp>
 
 namespace boragedoor::dispatch {
@@ -25,9 +30,7 @@
 
 std::vector<std::string> requests_of(const std::vector<broken_attempt>& list) {
   std::vector<std::string> ids;
-  for (const broken_attempt& it : list) {
-    ids.push_back(it.request);
-  }
+  std::ranges::transform(list, std::back_inserter(ids), &broken_attempt::request);
   return ids;
 }
 
--- a/tests/http1/byte_budget_test.cpp
+++ b/tests/http1/byte_budget_test.cpp
@@ -106,13 +106,14 @@
   constexpr std::size_t piece = 16'384;
   constexpr int seeds = 50;
   constexpr int rounds = 300;
+  constexpr std::size_t holders = 40;
   auto loop = net::event_loop::create().value();
   for (unsigned seed = 1; seed <= seeds; ++seed) {
     std::mt19937 random(seed);
     const auto budget = byte_budget::create(*loop, limit);
-    std::vector<std::unique_ptr<holder>> all;
-    for (int n = 0; n < 40; ++n) {
-      all.push_back(std::make_unique<holder>(budget, byte_use::response_body, "x"));
+    std::vector<std::unique_ptr<holder>> all(holders);
+    for (auto& it : all) {
+      it = std::make_unique<holder>(budget, byte_use::response_body, "x");
     }
     for (int n = 0; n < rounds; ++n) {
       // Each connection reads one piece an iteration of the loop.
