Let stand-ins listen again at their own address

platform_unconfirmed_crash_test aborted once beside other tests: a stand-in that restarts could not listen on its former port, because a listener of another process had taken it ("cannot listen on 127.0.0.1:40323" in 1 of 32 runs, /proc/net/tcp shows the other listener).

--- a/tests/platform/link_stand_in.cpp
+++ b/tests/platform/link_stand_in.cpp
@@ -13,6 +13,8 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
+#include "loopback_address.h"
+
 namespace boragedoor::platform {
 
 namespace {
@@ -37,7 +39,7 @@
 } // namespace
 
 link_stand_in::link_stand_in(net::event_loop& loop, net::address target)
-    : loop_(loop), target_(std::move(target)), address_{"127.0.0.1", 0} {
+    : loop_(loop), target_(std::move(target)), address_(own_loopback_address()) {
   listen();
 }
 
--- a/tests/platform/replica_stand_in.cpp
+++ b/tests/platform/replica_stand_in.cpp
@@ -8,6 +8,7 @@
 #include "base/json.h"
 #include "base/json_fields.h"
 #include "instance/error_response.h"
+#include "loopback_address.h"
 
 namespace boragedoor::platform {
 
@@ -21,7 +22,7 @@
 replica_stand_in::replica_stand_in(net::event_loop& loop, store_stand_in& store, options config)
     : loop_(loop), store_(store), options_(std::move(config)), timer_(loop, [this] { tick(); }),
       restart_timer_(loop, [this] { restart(); }) {
-  listen({"127.0.0.1", 0});
+  listen(own_loopback_address());
   timer_.start_periodic(options_.interval);
   announce();
 }
