Skip responses that do not name the request that waits

A caller got 400 for a request that its replica answered with 200: a faulty replica had sent additional bytes, a response without an Attempt-Id, on a kept connection.

Cause: the owner of a call skipped a response only if it named another request; one that named none was taken as the answer. The check stood in four places. PROTOCOL.md: replicas echo Attempt-Id, and additional bytes belong to no request.

endpoint_calls alone decides now: a response must name exactly the request that waits. Orders to engines have no id, so they use a connection of their own. Each skipped response is an event (1412) and counted.

--- a/libs/events/catalogue.cpp
+++ b/libs/events/catalogue.cpp
@@ -65,6 +65,8 @@
      "The software that began a stream was not recorded; the stream cannot be taken up."},
     {exchange_ended_for_memory, warning, "exchange_ended_for_memory",
      "An exchange was ended because the process held too many bytes of messages."},
+    {response_skipped, warning, "response_skipped",
+     "An endpoint sent a response that is not to the request that waits for one."},
     {endpoint_added, info, "endpoint_added", "An endpoint became available."},
     {endpoint_draining, info, "endpoint_draining",
      "An endpoint gets no new work because it is leaving."},
--- a/libs/events/catalogue.h
+++ b/libs/events/catalogue.h
@@ -53,6 +53,7 @@
   attempt_hedged = 1409,
   stream_not_recorded = 1410,
   exchange_ended_for_memory = 1411,
+  response_skipped = 1412,
 
   endpoint_added = 1501,
   endpoint_draining = 1502,
--- a/libs/http1/call.h
+++ b/libs/http1/call.h
@@ -58,7 +58,7 @@
 
 struct call_callbacks {
   /// Called with the status and the header fields. False skips the response, because it belongs to
-  /// an earlier request, and waits for the next one.
+  /// another request, and waits for the next one; without a length it ends the call as malformed.
   std::function<bool(const response&)> on_head;
   /// Called with each piece of the body; without it the body is collected.
   std::function<void(std::string_view)> on_data;
--- a/libs/http1/client_connection.cpp
+++ b/libs/http1/client_connection.cpp
@@ -249,7 +249,8 @@
     }
   }
   skipping_ = callbacks_.on_head && !callbacks_.on_head(response_);
-  return true;
+  // Without a length it would take in the response that follows it.
+  return !skipping_ || head.has_length;
 }
 
 void client_connection::take_data(std::string_view data) {
--- a/libs/instance/endpoint_calls.cpp
+++ b/libs/instance/endpoint_calls.cpp
@@ -96,6 +96,9 @@
     http1::call_callbacks callbacks;
     callbacks.on_head = [self = shared_from_this()](const http1::response& head) {
       self->note_byte();
+      if (!self->belongs_here(head)) {
+        return false;
+      }
       self->owner_.remove(*self);
       return !self->callbacks_.on_head || self->callbacks_.on_head(head);
     };
@@ -142,6 +145,19 @@
 private:
   void note_byte() { owner_.last_byte_at_ = owner_.loop_.now(); }
 
+  /// Whether a response is that of this request.
+  bool belongs_here(const http1::response& head) {
+    std::string answers = owner_.protocol_.read(head).attempt;
+    if (answers == request_.attempt) {
+      return true;
+    }
+    owner_.skipped.emit({.endpoint = request_.endpoint,
+                         .attempt = request_.attempt,
+                         .answers = std::move(answers),
+                         .status = head.status});
+    return false;
+  }
+
   http1::call_spec make_spec() const {
     http1::call_spec spec;
     spec.message = request_.message();
@@ -200,6 +216,11 @@
       return true;
     }
     owner_.relays_.note_forwarded(*relay_);
+    if (!belongs_here(head)) {
+      // An instance of an earlier version has passed it on. No other response follows.
+      relay_outcome_ = to_string(http1::call_outcome::broken);
+      return true;
+    }
     if (!callbacks_.on_head) {
       return true;
     }
@@ -411,13 +432,8 @@
   });
   const auto started = std::make_shared<bool>(false);
   http1::call_callbacks callbacks;
-  callbacks.on_head = [this, from, started, process = to.process,
-                       attempt = request.attempt](const http1::response& head) {
-    const endpoint_reply reply = protocol_.read(head);
-    if (!reply.attempt.empty() && reply.attempt != attempt) {
-      return false;
-    }
-    forwarded.emit(process, reply);
+  callbacks.on_head = [this, from, started, process = to.process](const http1::response& head) {
+    forwarded.emit(process, protocol_.read(head));
     *started = true;
     net::headers headers = protocol_.forwarded_headers(head);
     remove_relay_headers(headers);
--- a/libs/instance/endpoint_calls.h
+++ b/libs/instance/endpoint_calls.h
@@ -27,7 +27,8 @@
 struct endpoint_request {
   std::string endpoint;
   net::address address;
-  /// Id that the response echoes.
+  /// Id that the response echoes; empty if the request has none. Other responses belong to other
+  /// requests, or to none, and are skipped.
   std::string attempt;
   /// Makes the message. Called each time it is sent, because it states how much time is left.
   std::function<http1::request()> message;
@@ -46,6 +47,15 @@
   routing::endpoint_process process;
 };
 
+/// A response that an endpoint sent in the place of another one.
+struct unmatched_response {
+  std::string endpoint;
+  /// The request that waits, and the one that the response names; empty if it names none.
+  std::string attempt;
+  std::string answers;
+  int status = 0;
+};
+
 /// Sends requests to endpoints: directly, or through another instance while this one is cut off
 /// from them.
 ///
@@ -106,6 +116,8 @@
   /// Emitted with the head of each response that this instance forwards to another one.
   sigc::signal<void(const routing::endpoint_process& process, const endpoint_reply& reply)>
       forwarded;
+  /// Emitted for each response that is skipped.
+  sigc::signal<void(const unmatched_response&)> skipped;
   /// Emitted for each request that is sent through another instance.
   sigc::signal<void()> relayed;
 
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -329,11 +329,6 @@
 
   bool on_head(const std::shared_ptr<attempt>& it, const http1::response& head) {
     const endpoint_reply reply = context_.protocol.read(head);
-    if (!reply.attempt.empty() && reply.attempt != request_.attempt_id) {
-      context_.record(event_number::attempt_failed, request_.attempt_id, it->endpoint,
-                      {{"reason", "late_response"}, {"answers", reply.attempt}});
-      return false;
-    }
     context_.note_reply(it->process, reply, it->sent_at);
     note_execution_started(*it, reply);
     if (route_.matched_route->kind == dispatch::route_kind::stream && is_success(head.status) &&
--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -254,9 +254,6 @@
 
 bool job_runner::on_head(const std::shared_ptr<active_call>& it, const http1::response& head) {
   const endpoint_reply reply = context_.protocol.read(head);
-  if (!reply.attempt.empty() && reply.attempt != run_.item(it->item).id) {
-    return false;
-  }
   context_.note_reply(it->process, reply, it->sent_at);
   constexpr int ok = 200;
   if (head.status != ok || reply.not_run || reply.signature.empty()) {
@@ -596,12 +593,8 @@
   run_.reward_started(n);
   rewards_[n] = it;
   http1::call_callbacks callbacks;
-  callbacks.on_head = [this, it, id = call.id](const http1::response& head) {
-    const endpoint_reply reply = context_.protocol.read(head);
-    if (!reply.attempt.empty() && reply.attempt != id) {
-      return false;
-    }
-    context_.note_reply(it->process, reply, it->sent_at);
+  callbacks.on_head = [this, it](const http1::response& head) {
+    context_.note_reply(it->process, context_.protocol.read(head), it->sent_at);
     return true;
   };
   callbacks.on_end = [this, it](http1::call_outcome outcome, const http1::response& response) {
--- a/libs/instance/weight_task.cpp
+++ b/libs/instance/weight_task.cpp
@@ -113,6 +113,8 @@
                                           // Makes the engine reject the order if it arrives late.
                                           .expected_sequence = sequence});
   spec.may_send = permit->is_current;
+  // Responses to orders bear no id, so a late one of an earlier request could be taken for them.
+  spec.new_connection = true;
   spec.connect_timeout = connect_timeout;
   spec.progress_timeout = call_timeout;
   http1::call_callbacks callbacks;
--- a/tests/platform/replica_stand_in.cpp
+++ b/tests/platform/replica_stand_in.cpp
@@ -117,11 +117,11 @@
     unanswered_.push_back(exchange);
     return;
   }
+  const std::string id(net::find_header(request.headers, "Attempt-Id"));
   if (full) {
-    exchange->respond({503, with_state({{"Not-Executed", "1"}}), {}});
+    exchange->respond({503, with_state({{"Attempt-Id", id}, {"Not-Executed", "1"}}), {}});
     return;
   }
-  const std::string id(net::find_header(request.headers, "Attempt-Id"));
   executed_ids.push_back(id);
   if (!crashing_target.empty() && request.target == crashing_target) {
     // The server must not be destroyed within its own callback.
