Share what tests of faulty replicas and cut links have in common

The registry entry of a replica without a stand-in stood in three tests, the reader of a header in two, and the loop that puts links before all endpoints of an instance in three. Each is one function now.

--- a/tests/platform/broken_response_test.cpp
+++ b/tests/platform/broken_response_test.cpp
@@ -1,8 +1,9 @@
 #include <chrono>
 
+#include "endpoint_links.h"
 #include "http1/raw_peer.h"
-#include "link_stand_in.h"
 #include "platform_fixture.h"
+#include "raw_replica.h"
 
 namespace boragedoor::platform {
 
@@ -46,16 +47,7 @@
         }) {}
 
   void announce(const std::string& id, const std::string& service, const net::address& address) {
-    store.put("servers/" + id, {{"service", service},
-                                {"address", net::to_string(address)},
-                                {"zone", "z1"},
-                                {"version", "v1"},
-                                {"slots", 4},
-                                {"state", "ready"},
-                                {"cold_remaining_ms", 0},
-                                {"models", json::array()},
-                                {"sequence", 1},
-                                {"born", 1}});
+    announce_raw_replica(store, id, service, address);
     REQUIRE(loop->run_until([&] { return first->context().endpoints.find(id) != nullptr; },
                             wait_limit));
   }
@@ -132,15 +124,8 @@
                  it.first->members().members().all().size() == 2;
         },
         wait_limit));
-    std::vector<dispatch::endpoint_entry> entries;
-    it.first->context().endpoints.for_each(
-        [&](const dispatch::endpoint_entry& entry) { entries.push_back(entry); });
-    for (dispatch::endpoint_entry& entry : entries) {
-      links.push_back(std::make_unique<link_stand_in>(*it.loop, entry.address));
-      links.back()->set_state(link_state::refusing);
-      entry.address = links.back()->address();
-      it.first->context().endpoints.put(entry);
-    }
+    links = put_links_before(*it.loop, it.first->context().endpoints);
+    set_links(links, link_state::refusing);
     it.raw_entry = *it.first->context().endpoints.find("raw");
   };
 
--- a/tests/platform/cut_off_test.cpp
+++ b/tests/platform/cut_off_test.cpp
@@ -1,6 +1,6 @@
 #include <chrono>
 
-#include "link_stand_in.h"
+#include "endpoint_links.h"
 #include "platform_fixture.h"
 
 namespace boragedoor::platform {
@@ -28,21 +28,10 @@
                  first->members().members().all().size() == 2;
         },
         wait_limit));
-    std::vector<dispatch::endpoint_entry> entries;
-    first->context().endpoints.for_each(
-        [&](const dispatch::endpoint_entry& it) { entries.push_back(it); });
-    for (dispatch::endpoint_entry& it : entries) {
-      links.push_back(std::make_unique<link_stand_in>(*loop, it.address));
-      it.address = links.back()->address();
-      first->context().endpoints.put(it);
-    }
+    links = put_links_before(*loop, first->context().endpoints);
   }
 
-  void set_links(link_state state) {
-    for (const auto& it : links) {
-      it->set_state(state);
-    }
-  }
+  void set_links(link_state state) { platform::set_links(links, state); }
 
   /// Number of times that replicas began to execute an attempt.
   std::size_t executions(const std::string& id) const {
--- a/tests/platform/endless_response_test.cpp
+++ b/tests/platform/endless_response_test.cpp
@@ -4,6 +4,7 @@
 #include "base/heap.h"
 #include "http1/raw_peer.h"
 #include "platform_fixture.h"
+#include "raw_replica.h"
 
 namespace boragedoor::platform {
 
@@ -29,12 +30,6 @@
   return 0;
 }
 
-std::string header(const std::string& message, std::string_view name) {
-  const auto at = message.find(std::string(name) + ": ");
-  const auto from = at + name.size() + 2;
-  return at == std::string::npos ? "" : message.substr(from, message.find('\r', from) - from);
-}
-
 /// A replica that answers each request with the beginning of a response and then with bytes without
 /// end.
 class endless_replica {
@@ -55,7 +50,7 @@
       return;
     }
     const std::string request = std::exchange(it.received, {});
-    it.send("HTTP/1.1 200 OK\r\nAttempt-Id: " + header(request, "Attempt-Id") +
+    it.send("HTTP/1.1 200 OK\r\nAttempt-Id: " + header_of(request, "Attempt-Id") +
             "\r\nResponse-Signature: sig\r\n" + start_);
     answered_.insert(&it);
   }
@@ -100,17 +95,8 @@
     constexpr int count = 4;
     for (int n = 0; n < count; ++n) {
       replicas.push_back(std::make_unique<endless_replica>(*loop, start, filler));
-      store.put("servers/f-" + std::to_string(n),
-                {{"service", "faulty"},
-                 {"address", net::to_string(replicas.back()->address())},
-                 {"zone", "z1"},
-                 {"version", "v1"},
-                 {"slots", 8},
-                 {"state", "ready"},
-                 {"cold_remaining_ms", 0},
-                 {"models", json::array()},
-                 {"sequence", 1},
-                 {"born", 1}});
+      announce_raw_replica(store, "f-" + std::to_string(n), "faulty", replicas.back()->address(),
+                           8);
     }
     REQUIRE(loop->run_until(
         [&] { return first->context().endpoints.available_count("faulty") == count; }, wait_limit));
--- a/tests/platform/unmatched_response_test.cpp
+++ b/tests/platform/unmatched_response_test.cpp
@@ -3,9 +3,10 @@
 #include <string>
 #include <string_view>
 
+#include "endpoint_links.h"
 #include "http1/raw_peer.h"
-#include "link_stand_in.h"
 #include "platform_fixture.h"
+#include "raw_replica.h"
 
 namespace boragedoor::platform {
 
@@ -31,12 +32,6 @@
                 "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"},
 };
 
-std::string header(const std::string& message, std::string_view name) {
-  const auto at = message.find(std::string(name) + ": ");
-  const auto from = at + name.size() + 2;
-  return at == std::string::npos ? "" : message.substr(from, message.find('\r', from) - from);
-}
-
 /// A replica that sends additional bytes when it has answered a request. They arrive when the next
 /// request has been sent on the connection.
 class talkative_replica {
@@ -44,18 +39,7 @@
   talkative_replica(net::event_loop& loop, std::string_view extra)
       : extra_(extra), server_(loop, [this](http1::raw_connection& it) { answer(it); }) {}
 
-  void announce(platform_fixture& at, const std::string& service) const {
-    at.store.put("servers/raw", {{"service", service},
-                                 {"address", net::to_string(server_.address())},
-                                 {"zone", "z1"},
-                                 {"version", "v1"},
-                                 {"slots", 4},
-                                 {"state", "ready"},
-                                 {"cold_remaining_ms", 0},
-                                 {"models", json::array()},
-                                 {"sequence", 1},
-                                 {"born", 1}});
-  }
+  [[nodiscard]] const net::address& address() const { return server_.address(); }
 
   /// Requests that came after the first one of their connection.
   int disturbed = 0;
@@ -66,11 +50,11 @@
     if (end == std::string::npos) {
       return;
     }
-    const std::string length = header(it.received, "Content-Length");
+    const std::string length = header_of(it.received, "Content-Length");
     if (it.received.size() < end + 4 + (length.empty() ? 0 : std::stoul(length))) {
       return;
     }
-    const std::string id = header(std::exchange(it.received, {}), "Attempt-Id");
+    const std::string id = header_of(std::exchange(it.received, {}), "Attempt-Id");
     const bool is_first = used_.insert(&it).second;
     disturbed += is_first ? 0 : 1;
     const std::string body = "answer to " + id;
@@ -99,7 +83,7 @@
 
   DYNAMIC_SECTION(extra.name << ", to callers") {
     const bool relayed = GENERATE(false, true);
-    replica.announce(it, "plain");
+    announce_raw_replica(it.store, "raw", "plain", replica.address());
     wait_for(*it.first);
     std::vector<std::unique_ptr<link_stand_in>> links;
     if (relayed) {
@@ -108,13 +92,8 @@
       wait_for(*it.second);
       REQUIRE(it.loop->run_until([&] { return it.first->members().members().all().size() == 2; },
                                  wait_limit));
-      for (const std::string id : {"raw", "p-1"}) {
-        dispatch::endpoint_entry entry = *it.first->context().endpoints.find(id);
-        links.push_back(std::make_unique<link_stand_in>(*it.loop, entry.address));
-        links.back()->set_state(link_state::refusing);
-        entry.address = links.back()->address();
-        it.first->context().endpoints.put(entry);
-      }
+      links = put_links_before(*it.loop, it.first->context().endpoints);
+      set_links(links, link_state::refusing);
     }
     // Requests of its own connections go to the replica alone.
     for (int n = 0; n < 20; ++n) {
@@ -131,7 +110,7 @@
   DYNAMIC_SECTION(extra.name << ", as the score of a text") {
     it.start_engine();
     it.plain->crash();
-    replica.announce(it, "plain");
+    announce_raw_replica(it.store, "raw", "plain", replica.address());
     wait_for(*it.first);
     REQUIRE(it.call(*it.first, "POST", "/jobs/x", to_text(make_job()), "key-n", "j1").status ==
             202);
