Hold back removals of registry entries only after an outage of the store

Cause: a removal that was seen within 3 s after the registry's watch had failed was held back for up to two seconds, because the entry could have expired in an outage of the store.

Entries of running endpoints expire only after two missed heartbeats. Removals are now held back only if the store answered no call of the instance, over any path, for that long.

--- a/libs/instance/endpoint_task.cpp
+++ b/libs/instance/endpoint_task.cpp
@@ -9,27 +9,22 @@
 
 /// Collects the changes of several endpoints into one watch call.
 constexpr duration watch_pause = milliseconds(100);
-/// Running endpoints restore entries that expired in a store outage within this time after the
-/// store is reachable again.
-constexpr duration registration_grace_period = seconds(2);
-/// Removals within this time after an outage may be of entries that expired in it.
-constexpr duration recovery_period = seconds(3);
+/// Heartbeats that an endpoint misses in an outage of the store in which its entry expires.
+constexpr int missed_heartbeats = 2;
 constexpr duration tick_interval = milliseconds(250);
 
 } // namespace
 
 endpoint_task::endpoint_task(instance_context& context, const std::string& prefix,
-                             endpoint_decoder decode)
+                             endpoint_decoder decode, duration heartbeat)
     : context_(context), decode_(std::move(decode)),
+      outage_({.min_outage = missed_heartbeats * heartbeat}),
       watch_(context.loop, context.store, prefix, {.wait = prompt_watch_wait, .pause = watch_pause},
              {.on_put = [this](const stored_item& it) { on_put(it); },
               .on_removed = [this](const std::string& key) { on_removed(key); },
               .on_synced = nullptr,
               .on_reachable =
                   [this](bool reachable) {
-                    if (reachable) {
-                      reachable_since_ = context_.loop.now();
-                    }
                     context_.record(reachable ? events::event_number::store_available
                                               : events::event_number::store_unavailable,
                                     {}, {}, {{"watch", "endpoints"}});
@@ -64,9 +59,8 @@
 }
 
 void endpoint_task::on_removed(const std::string& key) {
-  const time_point now = context_.loop.now();
-  if (reachable_since_ && now - *reachable_since_ < recovery_period) {
-    unconfirmed_removals_[key] = *reachable_since_ + registration_grace_period;
+  if (const auto until = outage_.hold_until(context_.loop.now())) {
+    unconfirmed_removals_[key] = *until;
     tick();
     return;
   }
--- a/libs/instance/endpoint_task.h
+++ b/libs/instance/endpoint_task.h
@@ -8,6 +8,7 @@
 
 #include <sigc++/signal.h>
 
+#include "dispatch/registry_outage.h"
 #include "instance/instance_context.h"
 #include "instance/prefix_watch.h"
 
@@ -20,11 +21,15 @@
 /// Watches the endpoint registry in the store and applies its changes to the endpoint table.
 class endpoint_task {
 public:
-  endpoint_task(instance_context& context, const std::string& prefix, endpoint_decoder decode);
+  /// `heartbeat` is the interval at which endpoints write their entries.
+  endpoint_task(instance_context& context, const std::string& prefix, endpoint_decoder decode,
+                duration heartbeat);
 
   void start() { watch_.start(); }
   /// Sets the pause between watch calls, which depends on the number of instances.
   void set_watch_pause(duration pause) { watch_.set_pause(pause); }
+  /// Records that the store answered a call of this instance.
+  void note_store_answer(time_point now) { outage_.note_answer(now); }
 
   /// Emitted when an endpoint was added, removed or changed.
   sigc::signal<void()> changed;
@@ -42,7 +47,7 @@
   /// Entries removed from the registry shortly after a store outage, with the time at which their
   /// endpoints are removed unless the entries are back.
   std::map<std::string, time_point> unconfirmed_removals_;
-  std::optional<time_point> reachable_since_;
+  dispatch::registry_outage outage_;
   prefix_watch watch_;
   net::timer timer_;
 };
--- a/tests/platform/endpoint_verifier_test.cpp
+++ b/tests/platform/endpoint_verifier_test.cpp
@@ -24,7 +24,8 @@
   store_stand_in store(*loop);
   replica_stand_in engine(*loop, store, {.id = "e-1", .service = "models", .model = "m"});
   instance_parts parts(*loop, store.address(), "one");
-  instance::endpoint_task endpoints(parts.context, std::string(registry_prefix), &read_endpoint);
+  instance::endpoint_task endpoints(parts.context, std::string(registry_prefix), &read_endpoint,
+                                    seconds(1));
   endpoints.start();
   dispatch::service_endpoints& table = parts.context.endpoints;
   const auto knows = [&](std::string_view software) {
--- a/tests/platform/node_settings_test.cpp
+++ b/tests/platform/node_settings_test.cpp
@@ -18,6 +18,7 @@
           {"bounds", {{"lease_ttl_ms", 3000}, {"usage_window_s", 5}, {"grace_period_s", 8}}},
           {"platform", {{"address", "10.9.0.1:90"}}},
           {"cloud_api", {{"address", "10.9.0.2:90"}}},
+          {"heartbeat_ms", 900},
           {"a_new_field", true}};
 }
 
@@ -32,6 +33,7 @@
   CHECK_FALSE(it.value().address_lookup);
   CHECK(it.value().metrics.port == 7360);
   CHECK(it.value().relay.port == 7361);
+  CHECK(it.value().heartbeat == milliseconds(900));
   CHECK(it.value().lease_ttl == seconds(3));
 }
 
