List the results of a step when its trainer can use them

Three reasons: results were listed at an interval of 2.5 s, the third time 7.5 s after the submission, just before the longest texts (7.7 s, the length limit) are complete, and readers pause half a second after each read; a step counted as complete although its trainer waited for a group that it had submitted again; and items of such groups that were complete by then were generated again.

--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -29,8 +29,6 @@
 /// How long after its `give_up` time a job that was not ended keeps its runner, from which its
 /// results are read.
 constexpr duration result_retention = seconds(20);
-/// Groups that complete within this interval are written in one call.
-constexpr duration listing_interval = milliseconds(120);
 constexpr duration listing_retry_delay = milliseconds(250);
 /// Interval at which partial texts are saved. If the instance is lost, the events since the last
 /// save are generated again; each save is a call of up to 512 KB.
@@ -58,7 +56,8 @@
 job_runner::job_runner(instance_context& context, job_store& store, endpoint_verifier& verifier,
                        loaded_job loaded)
     : context_(context), store_(store), verifier_(verifier),
-      run_(std::move(loaded.contents), loaded.listed, context.loop.now(), loaded.progress),
+      run_(std::move(loaded.contents), loaded.listed, context.loop.now(), loaded.progress, {},
+           loaded.carried),
       texts_(context.loop, verifier,
              [this](const routing::endpoint_process& source, std::span<const std::size_t> items,
                     process_verdict verdict) { on_text_verified(source, items, verdict); }),
@@ -96,6 +95,11 @@
   return run_.progress(max_chunk_bytes);
 }
 
+std::vector<jobs::item_progress> job_runner::texts_for_next_step() const {
+  return run_.texts_for_next_step(max_chunk_bytes,
+                                  [this](std::string_view item) { return listed_.find(item); });
+}
+
 void job_runner::advance(time_point now) {
   if (stopped_) {
     return;
@@ -641,14 +645,19 @@
   }
 }
 
+duration job_runner::time_to_due() const {
+  return std::chrono::duration_cast<duration>(run_.contents().due - context_.stable_wall_now());
+}
+
+bool job_runner::listing_expected(duration limit) const {
+  return !stopped_ && run_.listing_expected(limit, time_to_due());
+}
+
 void job_runner::list_results(time_point now) {
   if (!chunk_) {
-    const auto to_due =
-        std::chrono::duration_cast<duration>(run_.contents().due - context_.stable_wall_now());
-    if (now < next_listing_ || !run_.results_due(now, to_due)) {
+    if (!run_.results_due(now, time_to_due())) {
       return;
     }
-    next_listing_ = now + listing_interval;
     chunk_ = std::make_unique<chunk>(chunk{listed_.end(), run_.take_results(max_chunk_bytes, now)});
   }
   if (chunk_->in_flight || now < chunk_->not_before) {
--- a/libs/instance/job_runner.h
+++ b/libs/instance/job_runner.h
@@ -37,6 +37,8 @@
   void stop();
   /// Partial texts, for the member that continues the job.
   [[nodiscard]] std::vector<jobs::item_progress> progress() const;
+  /// Texts of the groups that the trainer has not got, for the step in which it submits them again.
+  [[nodiscard]] std::vector<jobs::item_progress> texts_for_next_step() const;
 
   [[nodiscard]] const jobs::job& contents() const { return run_.contents(); }
   /// Number of results in the store.
@@ -49,6 +51,8 @@
   /// Whether all results are stored and their retention time has passed.
   [[nodiscard]] bool is_complete() const;
   [[nodiscard]] std::size_t running() const { return run_.running(); }
+  /// Whether results that are not listed yet will be within `limit`, because the step is due.
+  [[nodiscard]] bool listing_expected(duration limit) const;
 
 private:
   /// What has arrived of a run that continues a text and whose process is not verified yet.
@@ -121,6 +125,8 @@
   /// An endpoint other than `current` that has a free slot and can continue the item.
   [[nodiscard]] std::optional<dispatch::chosen_endpoint>
   alternative_endpoint(std::size_t n, const std::string& current, time_point now);
+  /// Time left until the results are due; negative afterwards.
+  [[nodiscard]] duration time_to_due() const;
   void list_results(time_point now);
   void on_listed(const commit_answer& out);
   void save_progress(time_point now);
@@ -135,7 +141,6 @@
   text_verification texts_;
   std::unique_ptr<chunk> chunk_;
   jobs::listed_results listed_;
-  time_point next_listing_{};
   time_point next_save_{};
   bool saving_ = false;
   /// Whether `start_ready` continues in the next iteration of the event loop.
--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -1,6 +1,7 @@
 #include "instance/job_service.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include <fmt/format.h>
@@ -22,6 +23,9 @@
 constexpr std::uint64_t concurrent_steps = 2;
 /// Maximum attempts to end a job whose record is changed concurrently.
 constexpr int max_end_attempts = 5;
+/// A read whose wait ends shortly before results are due waits for them this much longer. The
+/// trainer would pause before its next read, and instances that pass a read on wait 0.4 s longer.
+constexpr duration max_read_extension = milliseconds(300);
 /// How long after its submission a job counts as demand. Trainers end a step after about 10 s.
 constexpr duration demand_window = seconds(12);
 
@@ -294,7 +298,9 @@
   std::vector<waiting_read> due;
   std::erase_if(waiting_reads_, [&](waiting_read& it) {
     const auto own = runners_.find(it.job);
-    if (now < it.until && own != runners_.end() && own->second->listed_count() <= it.after) {
+    if (own != runners_.end() && own->second->listed_count() <= it.after &&
+        (now < it.until || (now < it.until + max_read_extension &&
+                            own->second->listing_expected(it.until + max_read_extension - now)))) {
       return false;
     }
     due.push_back(std::move(it));
@@ -375,7 +381,7 @@
 }
 
 void job_service::keep_texts_for_next_step(const job_runner& ended_runner) {
-  const std::vector<jobs::item_progress> texts = ended_runner.progress();
+  const std::vector<jobs::item_progress> texts = ended_runner.texts_for_next_step();
   if (texts.empty()) {
     return;
   }
@@ -430,9 +436,9 @@
   }
   const auto [it, added] = runners_.try_emplace(loaded.contents.id);
   if (added) {
-    for (jobs::item_progress& text : partial_texts_.take(loaded.contents, context_.loop.now())) {
-      loaded.progress.push_back(std::move(text));
-    }
+    jobs::carried_items carried = partial_texts_.take(loaded.contents, context_.loop.now());
+    std::move(carried.texts.begin(), carried.texts.end(), std::back_inserter(loaded.progress));
+    loaded.carried = std::move(carried.unfinished);
     it->second = std::make_unique<job_runner>(context_, store_, verifier_, std::move(loaded));
     it->second->advance(context_.loop.now());
   }
--- a/libs/instance/job_store.h
+++ b/libs/instance/job_store.h
@@ -29,6 +29,8 @@
   jobs::job contents;
   std::vector<jobs::item_result> listed;
   std::vector<jobs::item_progress> progress;
+  /// Items that an earlier step of the trainer left unfinished.
+  std::vector<std::size_t> carried{};
 };
 
 /// Results from a position on.
--- a/libs/jobs/job_run.cpp
+++ b/libs/jobs/job_run.cpp
@@ -17,7 +17,8 @@
 } // namespace
 
 job_run::job_run(job contents, std::span<const item_result> listed, time_point now,
-                 std::span<const item_progress> initial_progress, const job_run_options& options)
+                 std::span<const item_progress> initial_progress, const job_run_options& options,
+                 std::span<const std::size_t> carried)
     : job_(std::move(contents)), options_(options), items_(job_.items.size()), groups_(job_.items),
       listing_(now, options.listing) {
   std::map<std::string_view, std::size_t> index;
@@ -47,25 +48,36 @@
     restored.software = it.software;
     restored.unverified = it.unverified;
   }
+  for (const std::size_t n : carried) {
+    groups_.require(n);
+  }
   rank_items();
 }
 
 void job_run::rank_items() {
   // A group is complete when its longest item is, so groups are sorted by that item. The trainer
-  // stops waiting once it has `desired_groups`, so the longest groups beyond that number come last.
+  // stops waiting once it has `desired_groups`, so the longest groups beyond that number come last,
+  // but for those that it waits for in any case.
   // Among the others, the longest items start first, because they decide when the last group is
   // complete.
   std::map<std::string_view, std::int64_t> longest;
+  std::set<std::string_view> required;
   std::vector<std::string_view> groups;
-  for (const job_item& it : job_.items) {
+  for (std::size_t n = 0; n < job_.items.size(); ++n) {
+    const job_item& it = job_.items[n];
     const auto [found, added] = longest.emplace(it.group, it.expected_tokens);
     if (added) {
       groups.emplace_back(it.group);
     }
     found->second = std::max(found->second, it.expected_tokens);
+    if (groups_.is_required(n)) {
+      required.insert(it.group);
+    }
   }
-  std::stable_sort(groups.begin(), groups.end(),
-                   [&](std::string_view a, std::string_view b) { return longest[a] < longest[b]; });
+  std::stable_sort(groups.begin(), groups.end(), [&](std::string_view a, std::string_view b) {
+    const bool required_a = required.contains(a);
+    return required_a != required.contains(b) ? required_a : longest[a] < longest[b];
+  });
   const std::size_t desired =
       job_.desired_groups == 0 ? groups.size() : std::min(job_.desired_groups, groups.size());
   const std::set<std::string_view> surplus(groups.begin() + static_cast<std::ptrdiff_t>(desired),
@@ -208,6 +220,7 @@
     }
     it.current_phase = phase::text_complete;
     it.not_before = now;
+    groups_.mark_generated(n);
     if (!job_.items[n].reward) {
       finish(n, item_state::done, now);
     }
@@ -377,13 +390,24 @@
     unlisted.any = true;
     unlisted.has_complete_group = unlisted.has_complete_group || groups_.is_complete(n);
   }
-  const std::size_t desired = std::min(job_.desired_groups, groups_.group_count());
-  return listing_.is_due(unlisted, desired > 0, groups_.complete_group_count() >= desired,
-                         time_to_due, now);
+  return listing_.is_due(unlisted, job_.desired_groups > 0, current_progress(), time_to_due, now);
+}
+
+step_progress job_run::current_progress() const {
+  return groups_.progress(std::min(job_.desired_groups, groups_.group_count()));
+}
+
+bool job_run::listing_expected(duration limit, duration time_to_due) const {
+  return job_.desired_groups > 0 && current_progress() != step_progress::complete &&
+         listing_.is_due_within(limit, time_to_due);
 }
 
 std::vector<item_result> job_run::take_results(std::size_t max_bytes, time_point now) {
-  listing_.listed(now);
+  const step_progress progress = current_progress();
+  if (progress == step_progress::complete && !left_items_) {
+    left_items_ = items_of_incomplete_groups();
+  }
+  listing_.listed(progress, now);
   std::vector<item_result> list;
   std::size_t bytes = 0;
   for (const std::size_t n : order_) {
@@ -438,29 +462,61 @@
 }
 
 std::vector<item_progress> job_run::progress(std::size_t max_bytes) const {
-  std::vector<item_progress> list;
-  std::vector<const tracked_item*> texts;
-  for (const tracked_item& it : items_) {
-    if (is_worth_saving(it)) {
-      texts.push_back(&it);
+  std::vector<saved_text> texts;
+  for (std::size_t n = 0; n < items_.size(); ++n) {
+    if (is_worth_saving(items_[n])) {
+      texts.push_back({n, &items_[n].text});
     }
   }
-  std::stable_sort(texts.begin(), texts.end(), [](const tracked_item* a, const tracked_item* b) {
-    return *a->last_event > *b->last_event;
+  return to_progress(std::move(texts), max_bytes);
+}
+
+std::vector<item_progress> job_run::texts_for_next_step(std::size_t max_bytes,
+                                                        const result_finder& listed) const {
+  const std::vector<bool> left = left_items_ ? *left_items_ : items_of_incomplete_groups();
+  std::vector<saved_text> texts;
+  for (std::size_t n = 0; n < items_.size(); ++n) {
+    const tracked_item& it = items_[n];
+    if (!left[n] || !it.last_event) {
+      continue;
+    }
+    if (it.current_phase != phase::taken) {
+      texts.push_back({n, &it.text});
+    } else if (const item_result* result = listed(job_.items[n].id);
+               result != nullptr && result->state == item_state::done) {
+      texts.push_back({n, &result->text});
+    }
+  }
+  return to_progress(std::move(texts), max_bytes);
+}
+
+std::vector<bool> job_run::items_of_incomplete_groups() const {
+  std::vector<bool> left(items_.size());
+  for (std::size_t n = 0; n < items_.size(); ++n) {
+    left[n] = !groups_.is_complete(n);
+  }
+  return left;
+}
+
+std::vector<item_progress> job_run::to_progress(std::vector<saved_text> texts,
+                                                std::size_t max_bytes) const {
+  std::stable_sort(texts.begin(), texts.end(), [this](const saved_text& a, const saved_text& b) {
+    return *items_[a.item].last_event > *items_[b.item].last_event;
   });
+  std::vector<item_progress> list;
   std::size_t bytes = 0;
-  for (const tracked_item* it : texts) {
-    bytes += it->text.size();
+  for (const saved_text& one : texts) {
+    bytes += one.text->size();
     if (bytes > max_bytes) {
       break;
     }
-    const auto n = static_cast<std::size_t>(it - items_.data());
-    list.push_back({job_.items[n].id,
-                    it->text,
-                    *it->last_event,
-                    {it->versions.begin(), it->versions.end()},
-                    it->software,
-                    it->unverified});
+    const tracked_item& it = items_[one.item];
+    list.push_back({job_.items[one.item].id,
+                    *one.text,
+                    *it.last_event,
+                    {it.versions.begin(), it.versions.end()},
+                    it.software,
+                    it.unverified});
   }
   return list;
 }
--- a/libs/jobs/job_run.h
+++ b/libs/jobs/job_run.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -89,10 +90,11 @@
 public:
   /// `listed` are the results that are already in the store, in order of position.
   /// `initial_progress` are partial texts from an earlier run of the job or an earlier job; those
-  /// of unknown software are ignored. Of several texts of an item the longest is kept.
+  /// of unknown software are ignored. Of several texts of an item the longest is kept. `carried`
+  /// are items that an earlier step left unfinished: the trainer waits for their groups.
   job_run(job contents, std::span<const item_result> listed, time_point now,
-          std::span<const item_progress> initial_progress = {},
-          const job_run_options& options = {});
+          std::span<const item_progress> initial_progress = {}, const job_run_options& options = {},
+          std::span<const std::size_t> carried = {});
 
   [[nodiscard]] const job& contents() const { return job_; }
   [[nodiscard]] const job_item& item(std::size_t n) const { return job_.items[n]; }
@@ -164,12 +166,21 @@
   /// Whether results should be listed now. `time_to_due` is the time left until the job's results
   /// are due.
   [[nodiscard]] bool results_due(time_point now, duration time_to_due) const;
+  /// Whether results that are not listed yet will be within `limit`, because the step is due.
+  [[nodiscard]] bool listing_expected(duration limit, duration time_to_due) const;
   /// Moves out finished results, up to `max_bytes` of text but at least one. The caller must keep
   /// them until they are stored.
   std::vector<item_result> take_results(std::size_t max_bytes, time_point now);
 
   /// Texts that are worth saving and are not listed yet, the longest first, up to `max_bytes`.
   [[nodiscard]] std::vector<item_progress> progress(std::size_t max_bytes) const;
+  /// Finds the result of an item that is listed; nullptr if it is no longer kept.
+  using result_finder = std::function<const item_result*(std::string_view item)>;
+  /// Texts of the groups that the trainer has not got: those that were incomplete when the step was
+  /// first complete, or that are now if it never was. The trainer may submit these groups again in
+  /// a later step, also the items that were listed meanwhile. The longest first, up to `max_bytes`.
+  [[nodiscard]] std::vector<item_progress> texts_for_next_step(std::size_t max_bytes,
+                                                               const result_finder& listed) const;
   /// Like `progress`, but empty if fewer than `events_between_saves` events have been added since
   /// texts were last saved.
   std::vector<item_progress> take_new_progress(std::size_t max_bytes);
@@ -217,6 +228,16 @@
   };
 
   void rank_items();
+  [[nodiscard]] step_progress current_progress() const;
+  /// By item: whether its group is incomplete.
+  [[nodiscard]] std::vector<bool> items_of_incomplete_groups() const;
+  struct saved_text {
+    std::size_t item = 0;
+    const std::string* text = nullptr;
+  };
+  /// The longest texts first, up to `max_bytes`.
+  [[nodiscard]] std::vector<item_progress> to_progress(std::vector<saved_text> texts,
+                                                       std::size_t max_bytes) const;
   static void discard_text(tracked_item& it);
   void finish(std::size_t n, item_state outcome, time_point now);
   void schedule_retry(tracked_item& it, std::string_view endpoint, time_point now);
@@ -231,6 +252,8 @@
   std::vector<tracked_item> items_;
   group_tally groups_;
   listing_schedule listing_;
+  /// By item: whether its group was incomplete when results were first listed of the complete step.
+  std::optional<std::vector<bool>> left_items_;
   /// Item indexes in the order in which `next_item` starts them.
   std::vector<std::size_t> order_;
   std::map<std::string, std::string, std::less<>> group_endpoints_;
--- a/libs/jobs/listed_results.cpp
+++ b/libs/jobs/listed_results.cpp
@@ -1,5 +1,6 @@
 #include "jobs/listed_results.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace boragedoor::jobs {
@@ -33,4 +34,10 @@
   return list;
 }
 
+const item_result* listed_results::find(std::string_view item) const {
+  const auto it = std::find_if(results_.begin(), results_.end(),
+                               [item](const item_result& one) { return one.id == item; });
+  return it == results_.end() ? nullptr : &*it;
+}
+
 } // namespace boragedoor::jobs
--- a/libs/jobs/listed_results.h
+++ b/libs/jobs/listed_results.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <deque>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 #include "jobs/job.h"
@@ -25,6 +26,8 @@
   /// if any exists. Returns nullopt if the result at `after` is no longer kept.
   [[nodiscard]] std::optional<std::vector<item_result>> read(std::size_t after,
                                                              std::size_t max_bytes) const;
+  /// Returns the result of an item; nullptr if it is not kept.
+  [[nodiscard]] const item_result* find(std::string_view item) const;
 
 private:
   std::size_t first_;
--- a/libs/jobs/partial_text_cache.cpp
+++ b/libs/jobs/partial_text_cache.cpp
@@ -44,21 +44,22 @@
   }
 }
 
-std::vector<item_progress> partial_text_cache::take(const job& new_job, time_point now) {
+carried_items partial_text_cache::take(const job& new_job, time_point now) {
   expire(now);
-  std::vector<item_progress> list;
-  for (const job_item& item : new_job.items) {
-    const auto found = texts_.find({new_job.workspace, item.id});
+  carried_items carried;
+  for (std::size_t n = 0; n < new_job.items.size(); ++n) {
+    const auto found = texts_.find({new_job.workspace, new_job.items[n].id});
     if (found == texts_.end()) {
       continue;
     }
+    carried.unfinished.push_back(n);
     bytes_ -= found->second.progress.text.size();
     if (has_acceptable_versions(found->second.progress, new_job)) {
-      list.push_back(std::move(found->second.progress));
+      carried.texts.push_back(std::move(found->second.progress));
     }
     texts_.erase(found);
   }
-  return list;
+  return carried;
 }
 
 } // namespace boragedoor::jobs
--- a/libs/jobs/partial_text_cache.h
+++ b/libs/jobs/partial_text_cache.h
@@ -23,6 +23,14 @@
   std::size_t max_bytes = 2UL * 1024 * 1024;
 };
 
+/// What an earlier step left of a job's items.
+struct carried_items {
+  /// Texts that the job can continue.
+  std::vector<item_progress> texts;
+  /// Items that the earlier step did not complete, also those whose text is not acceptable.
+  std::vector<std::size_t> unfinished;
+};
+
 /// Caches the partial texts of jobs that have ended, so that a later job can continue them.
 ///
 /// Design note: a trainer proceeds when nine of ten groups are complete. The remaining group has
@@ -34,9 +42,9 @@
   explicit partial_text_cache(const partial_text_cache_options& options = {}) : options_(options) {}
 
   void add(std::string_view workspace, std::span<const item_progress> texts, time_point now);
-  /// Removes the entries for the items of a new job from the same workspace, and returns those
-  /// whose weight versions the job accepts.
-  [[nodiscard]] std::vector<item_progress> take(const job& new_job, time_point now);
+  /// Removes the entries for the items of a new job from the same workspace and returns them. The
+  /// texts are those whose weight versions the job accepts.
+  [[nodiscard]] carried_items take(const job& new_job, time_point now);
   [[nodiscard]] std::size_t size() const { return texts_.size(); }
 
 private:
--- a/tests/jobs/job_run_test.cpp
+++ b/tests/jobs/job_run_test.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "jobs/listed_results.h"
+
 namespace boragedoor::jobs {
 
 namespace {
@@ -409,6 +411,63 @@
   CHECK(list.at(0).text.ends_with("80\n81"));
 }
 
+// Load: the trainer ends a step with nine of ten groups and submits the tenth again in its next
+// step, which waits for it whichever other groups are complete. Guards against generating the
+// longest texts of a step a second time, and against starting them last.
+TEST_CASE("the next step continues the groups that a step left") {
+  job_run before(make_job(3, 2, 2), {}, start);
+  listed_results listed(0, 1'000'000);
+  const auto finish = [&](std::size_t n, std::uint64_t events) {
+    run_to_completion(before, n, 4, events);
+    before.reward_started(n);
+    before.reward_ended(n, reward_outcome::scored, "s", 4, start);
+  };
+  const auto texts = [&] {
+    return before.texts_for_next_step(100'000,
+                                      [&](std::string_view item) { return listed.find(item); });
+  };
+  const auto list = [&] { listed.append(before.take_results(100'000, start)); };
+  // One item of the third group is listed before the step is complete.
+  finish(4, 5);
+  list();
+  before.started(5, {"e1", "s/v1"}, start);
+  REQUIRE(before.accept_version(5, 4));
+  REQUIRE(before.append_event(5, make_event(1, "t1"), start));
+  for (const std::size_t n : {0U, 1U, 2U, 3U}) {
+    finish(n, 2);
+  }
+
+  SECTION("if it ends before it is complete, all incomplete groups") {
+    const auto left = texts();
+    REQUIRE(left.size() == 2);
+    CHECK(left[0].id == "g2i0");
+    CHECK(left[0].text == "t1\nt2\nt3\nt4\nt5");
+    CHECK(left[0].software == "s/v1");
+    CHECK(left[1].id == "g2i1");
+  }
+
+  SECTION("also the items that are complete only after the trainer has read enough") {
+    list();
+    before.ended(5, run_outcome::complete, start);
+    before.reward_started(5);
+    before.reward_ended(5, reward_outcome::scored, "s", 4, start);
+    list();
+    const auto left = texts();
+    REQUIRE(left.size() == 2);
+    CHECK(left[1].id == "g2i1");
+    CHECK(left[1].text == "t1");
+
+    SECTION("and starts them first, although they are the longest") {
+      const std::vector<std::size_t> carried = {4, 5};
+      job_run after(make_job(3, 2, 2), {}, start, left, {}, carried);
+      CHECK(after.next_item(start) == 5);
+      job_run unaware(make_job(3, 2, 2), {}, start, left);
+      CHECK(unaware.next_item(start) == 3);
+      CHECK(after.last_event(4) == 5);
+    }
+  }
+}
+
 TEST_CASE("a text is continued only by the software that began it") {
   job_run run(make_job(1, 2), {}, start);
   CHECK(run.software(0).empty());
--- a/tests/jobs/partial_text_cache_test.cpp
+++ b/tests/jobs/partial_text_cache_test.cpp
@@ -34,7 +34,10 @@
   texts.add("north", leftover_texts, start);
 
   SECTION("if the later job accepts all of their weight versions") {
-    const auto taken = texts.take(make_job(4, {"c", "x", "b", "a"}), start + seconds(1));
+    const auto carried = texts.take(make_job(4, {"c", "x", "b", "a"}), start + seconds(1));
+    const auto& taken = carried.texts;
+    // The trainer waits for their groups, whether or not their texts can be continued.
+    CHECK(carried.unfinished == std::vector<std::size_t>{0, 2, 3});
     REQUIRE(taken.size() == 2);
     CHECK(taken[0].id == "c");
     CHECK(taken[0].last_event == 90);
@@ -45,25 +48,25 @@
   SECTION("if they come from one version, for a job that requires a single version") {
     job single = make_job(4, {"a", "c"});
     single.single_version = true;
-    const auto taken = texts.take(single, start);
+    const auto taken = texts.take(single, start).texts;
     REQUIRE(taken.size() == 1);
     CHECK(taken[0].id == "a");
   }
   SECTION("but not by a job of another workspace with the same item ids") {
     job foreign = make_job(4, {"a", "c"});
     foreign.workspace = "south";
-    CHECK(texts.take(foreign, start).empty());
-    CHECK(texts.take(make_job(4, {"a"}), start).size() == 1);
+    CHECK(texts.take(foreign, start).unfinished.empty());
+    CHECK(texts.take(make_job(4, {"a"}), start).texts.size() == 1);
   }
   SECTION("but not after the retention time") {
-    CHECK(texts.take(make_job(3, {"a"}), start + seconds(20)).empty());
+    CHECK(texts.take(make_job(3, {"a"}), start + seconds(20)).unfinished.empty());
     CHECK(texts.size() == 0);
   }
   SECTION("and the oldest are evicted when the size limit is exceeded") {
     const std::vector<item_progress> more = {make_text("d", {4}, 900)};
     texts.add("north", more, start + seconds(1));
     CHECK(texts.size() == 2);
-    CHECK(texts.take(make_job(4, {"d"}), start + seconds(1)).size() == 1);
+    CHECK(texts.take(make_job(4, {"d"}), start + seconds(1)).texts.size() == 1);
     // A text that is added again replaces the earlier one.
     texts.add("north", leftover_texts, start + seconds(2));
     texts.add("north", leftover_texts, start + seconds(3));
