Order loads of weights by what the steps of each model need

Cause: a trainer that is behind names two versions within half a second, and the second step waits until engines have loaded one of them.

Change: job records name their model; the holder takes the size of a model's steps from them and loads first what the current steps lack, then what the next ones need, and the rest with half of the loads.

Test: duties_test, sections 'with the sizes of the steps'.

--- a/libs/duties/weight_schedule.cpp
+++ b/libs/duties/weight_schedule.cpp
@@ -26,7 +26,9 @@
 std::map<std::string, weight_schedule::coverage, std::less<>>
 weight_schedule::count_coverage(const std::vector<engine_state>& engines) const {
   std::map<std::string, coverage, std::less<>> models;
+  int slots = 1;
   for (const engine_state& it : engines) {
+    slots = std::max(slots, it.slots);
     for (const auto& [model, version] : it.versions) {
       coverage& model_coverage = models[model];
       ++model_coverage.total;
@@ -36,6 +38,11 @@
       model_coverage.usable += current || version + options_.tolerated_lag >= target ? 1 : 0;
     }
   }
+  for (auto& [model, it] : models) {
+    if (const auto size = step_sizes_.find(model); size != step_sizes_.end()) {
+      it.needed = std::min(it.total, static_cast<std::size_t>((size->second + slots - 1) / slots));
+    }
+  }
   return models;
 }
 
@@ -69,13 +76,30 @@
   return lists;
 }
 
+weight_schedule::model_rank weight_schedule::rank_model(const coverage& covered,
+                                                        const candidate& head) {
+  const auto share = [&covered](std::size_t n) {
+    return static_cast<double>(n) / static_cast<double>(covered.needed);
+  };
+  if (head.too_old && covered.usable < covered.needed) {
+    return {purpose::current_step, share(covered.usable)};
+  }
+  if (covered.current < covered.needed) {
+    return {purpose::next_step, share(covered.current)};
+  }
+  return {purpose::surplus, static_cast<double>(covered.usable + covered.current)};
+}
+
 std::optional<load_order>
 weight_schedule::next_load(candidate_lists& candidates,
                            const std::map<std::string, coverage, std::less<>>& models,
                            time_point now) const {
   const candidate* best = nullptr;
   std::string_view best_model;
-  std::pair<std::size_t, std::tuple<bool, std::size_t, int>> best_rank;
+  std::pair<model_rank, std::tuple<bool, std::size_t, int>> best_rank;
+  const bool surplus_allowed =
+      static_cast<double>(loading_.size()) <
+      std::max(1.0, options_.surplus_load_share * static_cast<double>(max_concurrent_loads()));
   for (auto& [model, it] : candidates) {
     while (it.next < it.list.size() && loading_.contains(it.list[it.next].engine->id)) {
       ++it.next;
@@ -86,10 +110,12 @@
     const candidate& head = it.list[it.next];
     const coverage& covered = models.find(model)->second;
     const bool catch_up_due = now - newest_.find(model)->second.since >= options_.catch_up_delay;
-    if (!head.too_old && !catch_up_due && 2 * (covered.current + 1) > covered.total) {
+    const model_rank need = rank_model(covered, head);
+    const bool enough = !head.too_old && !catch_up_due && 2 * (covered.current + 1) > covered.total;
+    if (need.first == purpose::surplus && (enough || (covered.needed > 0 && !surplus_allowed))) {
       continue;
     }
-    const std::pair rank(covered.usable + covered.current, head.rank);
+    const std::pair rank(need, head.rank);
     if (best == nullptr || rank < best_rank) {
       best = &head;
       best_model = model;
--- a/libs/duties/weight_schedule.h
+++ b/libs/duties/weight_schedule.h
@@ -19,6 +19,8 @@
   /// Number of requests that run or wait there.
   int load = 0;
   std::map<std::string, std::uint64_t, std::less<>> versions;
+  /// Number of requests that it runs at once.
+  int slots = 1;
 };
 
 /// Order to load a version of a model on an engine.
@@ -45,6 +47,9 @@
   /// A load takes 0.9 s and shows in reports about 0.2 s later. Loads that take longer than this
   /// threshold are slowing each other down.
   duration slow_load_threshold = milliseconds(1300);
+  /// Share of the concurrent loads for engines beyond those that the steps need. The others are
+  /// free when a version is announced whose step starts at once.
+  double surplus_load_share = 0.5;
   /// Increase of the limit for each load that was not slow.
   double limit_increase = 0.05;
   /// A load that has not been reported within this time is ordered again. Loads take about one
@@ -66,13 +71,20 @@
 /// interruption.
 ///
 /// Engines that hold several models cannot load every version of each, and a step waits for slots
-/// if few engines are usable for its model. So the next load is for the model that has the fewest
-/// engines for the current step and the next one together. Among its engines, one that is usable
-/// for few models goes first, then the least loaded.
+/// if few engines are usable for its model. The steps' sizes tell how many engines each model
+/// needs. A model whose current step lacks engines loads first, then one whose next step will: the
+/// engines with the newest weights when the next version is announced. Once all steps have what
+/// they need, part of the loads goes to the model that has the fewest engines for the current step
+/// and the next one together. Among a model's engines, one that is usable for few models goes
+/// first, then the least loaded.
 class weight_schedule {
 public:
   explicit weight_schedule(const weight_schedule_options& options = {}) : options_(options) {}
 
+  /// Sets how many items a step of each model has, as far as it is known.
+  void set_step_sizes(std::map<std::string, int, std::less<>> items) {
+    step_sizes_ = std::move(items);
+  }
   /// Records an announced version. A version that is not newer than the newest is ignored.
   void announce(std::string_view model, std::uint64_t version, time_point now);
   [[nodiscard]] std::uint64_t newest(std::string_view model) const;
@@ -99,7 +111,11 @@
     std::size_t usable = 0;
     /// Engines that have the newest weights or are loading the model.
     std::size_t current = 0;
+    /// Engines that run all items of a step at once; 0 if its size is not known.
+    std::size_t needed = 0;
   };
+  /// What a load is for. Needs go first.
+  enum class purpose { current_step, next_step, surplus };
 
   [[nodiscard]] std::map<std::string, coverage, std::less<>>
   count_coverage(const std::vector<engine_state>& engines) const;
@@ -120,6 +136,9 @@
 
   [[nodiscard]] candidate_lists find_candidates(const std::vector<engine_state>& engines,
                                                 time_point now) const;
+  /// Order among the models: the purpose of a load for them, and how much of it is covered.
+  using model_rank = std::pair<purpose, double>;
+  [[nodiscard]] static model_rank rank_model(const coverage& covered, const candidate& head);
   /// Returns the next load, and passes over the candidates that are loading by now.
   [[nodiscard]] std::optional<load_order>
   next_load(candidate_lists& candidates, const std::map<std::string, coverage, std::less<>>& models,
@@ -140,6 +159,7 @@
     time_point since{};
   };
   std::map<std::string, announced_version, std::less<>> newest_;
+  std::map<std::string, int, std::less<>> step_sizes_;
   std::map<std::string, load, std::less<>> loading_;
   /// Limit of concurrent loads before `min_concurrent_loads` applies; 0 until a version is
   /// announced. Fractional, because each load that is not slow adds `limit_increase`.
--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -28,6 +28,9 @@
 constexpr duration max_read_extension = milliseconds(300);
 /// How long after its submission a job counts as demand. Trainers end a step after about 10 s.
 constexpr duration demand_window = seconds(12);
+/// How long a step tells how many items the next one of its trainer has. Trainers submit a step
+/// each few seconds.
+constexpr duration step_size_window = seconds(30);
 
 } // namespace
 
@@ -115,6 +118,18 @@
   return static_cast<int>(n);
 }
 
+std::map<std::string, int, std::less<>> job_service::step_sizes() const {
+  const wall_time wall = context_.stable_wall_now();
+  std::map<std::string, int, std::less<>> sizes;
+  for (const auto& [job, known] : store_.records()) {
+    if (!known.record.model.empty() && wall - known.record.submitted < step_size_window) {
+      int& size = sizes[known.record.model];
+      size = std::max(size, static_cast<int>(known.record.total));
+    }
+  }
+  return sizes;
+}
+
 const duties::member* job_service::runner_of(std::string_view route, std::uint64_t step) const {
   return members_.members().assigned_member(fmt::format("{}/{}", route, step % concurrent_steps));
 }
@@ -150,7 +165,8 @@
                    .total = job.items.size(),
                    .runner = runner_for_new(job.id),
                    .ended = false,
-                   .submitted = job.submitted};
+                   .submitted = job.submitted,
+                   .model = job.items.empty() ? std::string() : job.items.front().model};
   entry->contents = std::move(job);
   entry->deadline = context_.loop.now() + submit_timeout;
   entry->may_exist = may_exist;
--- a/libs/instance/job_service.h
+++ b/libs/instance/job_service.h
@@ -59,6 +59,8 @@
   /// Number of items in the jobs of all instances that have not ended and were submitted recently
   /// enough to count as demand.
   [[nodiscard]] int open_items() const;
+  /// Number of items of the largest recent step of each model.
+  [[nodiscard]] std::map<std::string, int, std::less<>> step_sizes() const;
   [[nodiscard]] std::size_t running_jobs() const { return runners_.size(); }
 
 private:
--- a/libs/instance/weight_task.cpp
+++ b/libs/instance/weight_task.cpp
@@ -35,7 +35,8 @@
   context_.endpoints.for_each([&](const dispatch::endpoint_entry& it) {
     const std::string& id = it.description.id;
     if (!it.versions.empty() && it.description.state == routing::endpoint_state::ready) {
-      found.push_back({id, context_.endpoints.load_of(id, context_.loop.now()), it.versions});
+      found.push_back({id, context_.endpoints.load_of(id, context_.loop.now()), it.versions,
+                       it.description.max_running});
     }
   });
   return found;
@@ -46,6 +47,9 @@
   if (!members_.permit(now) || !schedule_.wants_decision(now)) {
     return;
   }
+  if (step_sizes_) {
+    schedule_.set_step_sizes(step_sizes_());
+  }
   for (const duties::load_order& order : schedule_.decide(ready_engines(), now)) {
     request_report(order, false, now + load_timeout);
   }
--- a/libs/instance/weight_task.h
+++ b/libs/instance/weight_task.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -22,6 +24,10 @@
   weight_task(weight_task&&) = delete;
   weight_task& operator=(weight_task&&) = delete;
 
+  /// Sets where the number of items comes from that a step of each model has.
+  void set_step_sizes(std::function<std::map<std::string, int, std::less<>>()> sizes) {
+    step_sizes_ = std::move(sizes);
+  }
   void start();
   /// Maximum number of engines that load weights at the same time.
   [[nodiscard]] int max_concurrent_loads() const {
@@ -45,6 +51,7 @@
 
   instance_context& context_;
   member_task& members_;
+  std::function<std::map<std::string, int, std::less<>>()> step_sizes_;
   duties::weight_schedule schedule_;
   net::timer timer_;
   /// Set to false on destruction, after which delayed callbacks do nothing.
--- a/libs/jobs/job.h
+++ b/libs/jobs/job.h
@@ -88,6 +88,8 @@
   std::string runner;
   bool ended = false;
   wall_time submitted{};
+  /// Model that generates the job's items; empty if it is not known.
+  std::string model{};
 
   friend bool operator==(const job_record&, const job_record&) = default;
 };
--- a/libs/jobs/job_documents.cpp
+++ b/libs/jobs/job_documents.cpp
@@ -152,7 +152,8 @@
                   {"total", record.total},
                   {"runner", record.runner},
                   {"ended", record.ended},
-                  {"submitted", to_microseconds(record.submitted)}});
+                  {"submitted", to_microseconds(record.submitted)},
+                  {"model", record.model}});
 }
 
 result<job_record> record_from_document(std::string_view document) {
@@ -167,6 +168,8 @@
       !read_field(from, "ended", it.ended) || !read_time(from, "submitted", it.submitted)) {
     return malformed_document("job record");
   }
+  // Records of earlier releases do not name the model.
+  read_field(from, "model", it.model);
   return it;
 }
 
--- a/tests/duties/weight_schedule_test.cpp
+++ b/tests/duties/weight_schedule_test.cpp
@@ -172,6 +172,65 @@
     }
   }
 
+  // Load: trainers whose steps have different sizes share the engines, and a trainer that is behind
+  // names two versions within half a second, so that its second step accepts only engines that have
+  // loaded in between. Guards against a step that waits for weights while its trainer's engines
+  // wait behind loads that no step needs.
+  SECTION("with the sizes of the steps") {
+    engines = make_engines(40, 1);
+    for (engine_state& it : engines) {
+      it.versions = {{"large", 4}, {"small", 5}};
+      it.slots = 6;
+    }
+    // Eight concurrent loads. The step of "large" needs 20 engines, that of "small" four.
+    schedule.set_step_sizes({{"large", 120}, {"small", 24}});
+    const auto give = [&](std::string_view model, std::size_t first, std::size_t n,
+                          std::uint64_t version) {
+      for (std::size_t i = first; i < first + n; ++i) {
+        engines[i].versions.find(model)->second = version;
+      }
+    };
+    const auto models_of = [](const std::vector<load_order>& orders) {
+      std::map<std::string, std::size_t> n;
+      for (const load_order& it : orders) {
+        ++n[it.model];
+      }
+      return n;
+    };
+
+    SECTION("the step that lacks engines loads first, although it has more than the other") {
+      give("large", 0, 15, 6);
+      schedule.announce("small", 6, start);
+      schedule.announce("large", 6, start);
+      const auto loads = models_of(schedule.decide(engines, start));
+      CHECK(loads.at("large") == 5);
+      CHECK(loads.at("small") == 3);
+    }
+
+    SECTION("the next step's engines load before further ones of the current step") {
+      give("large", 0, 20, 5);
+      give("small", 0, 4, 6);
+      schedule.announce("small", 6, start);
+      schedule.announce("large", 6, start);
+      CHECK(models_of(schedule.decide(engines, start)) ==
+            std::map<std::string, std::size_t>{{"large", 8}});
+    }
+
+    SECTION("half of the loads stay free once all steps have what they need") {
+      give("large", 0, 20, 6);
+      give("small", 0, 4, 6);
+      schedule.announce("small", 6, start);
+      schedule.announce("large", 6, start);
+      CHECK(schedule.decide(engines, start).size() == 4);
+    }
+
+    SECTION("a single model without a known step loads as before") {
+      schedule.set_step_sizes({});
+      schedule.announce("large", 6, start);
+      CHECK(schedule.decide(engines, start).size() == 8);
+    }
+  }
+
   SECTION("an engine loads only one model at a time") {
     for (engine_state& it : engines) {
       it.versions["n"] = 1;
