Write the results that complete a step in one change

Cause: a listing took at most 512 KB of text, so the results that complete a step of long texts went out in two writes 0.1 s apart; the trainer read the first part, paused half a second and then read the second.

Change: up to 900 KB, the most that a reader takes at once, are listed in one change of several values and read in one answer. Test: jobs_test, 'results of any size are split into parts'.

--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -21,8 +21,12 @@
 constexpr duration run_timeout = seconds(30);
 /// A reward call takes about 100 ms and is repeated if it fails.
 constexpr duration reward_timeout = seconds(2);
-/// Bytes of text in one stored value. The store's limit for an encoded value is 1 MB.
-constexpr std::size_t max_chunk_bytes = 512UL * 1024;
+/// Bytes of partial texts in one stored value or message. The store's limit for an encoded value is
+/// 1 MB.
+constexpr std::size_t max_progress_bytes = 512UL * 1024;
+/// Bytes of results that are listed or read at once. A reader takes up to 1 MB and pauses before it
+/// comes back, so the results that complete a step should be in one answer.
+constexpr std::size_t max_chunk_bytes = 900UL * 1024;
 /// Bytes of stored results that are cached, so that readers need no call to the store. A step of
 /// 128 texts has about 1 MB.
 constexpr std::size_t max_cached_bytes = 2UL * 1024 * 1024;
@@ -92,11 +96,11 @@
 }
 
 std::vector<jobs::item_progress> job_runner::progress() const {
-  return run_.progress(max_chunk_bytes);
+  return run_.progress(max_progress_bytes);
 }
 
 std::vector<jobs::item_progress> job_runner::texts_for_next_step() const {
-  return run_.texts_for_next_step(max_chunk_bytes,
+  return run_.texts_for_next_step(max_progress_bytes,
                                   [this](std::string_view item) { return listed_.find(item); });
 }
 
@@ -149,7 +153,7 @@
     return;
   }
   next_save_ = now + save_interval;
-  const auto texts = run_.take_new_progress(max_chunk_bytes);
+  const auto texts = run_.take_new_progress(max_progress_bytes);
   if (texts.empty()) {
     return;
   }
@@ -678,6 +682,14 @@
                         });
 }
 
+bool job_runner::ends_with_chunk(std::string_view stored) const {
+  const auto part = jobs::results_from_document(stored);
+  if (!part || part.value().empty() || part.value().size() > chunk_->results.size()) {
+    return false;
+  }
+  return stored == jobs::to_document(std::span(chunk_->results).last(part.value().size()));
+}
+
 void job_runner::on_listed(const commit_answer& out) {
   const time_point now = context_.loop.now();
   if (!chunk_) {
@@ -691,7 +703,7 @@
     const auto present =
         std::find_if(out.found.begin(), out.found.end(),
                      [&](const stored_item& it) { return it.key == key && it.revision != 0; });
-    if (present != out.found.end() && present->value != jobs::to_document(chunk_->results)) {
+    if (present != out.found.end() && !ends_with_chunk(present->value)) {
       // Another member has written different results at this position, so it runs the job now.
       stop();
       store_.read_record(job, [](const result<stored_record>&) {});
--- a/libs/instance/job_runner.h
+++ b/libs/instance/job_runner.h
@@ -129,6 +129,8 @@
   [[nodiscard]] duration time_to_due() const;
   void list_results(time_point now);
   void on_listed(const commit_answer& out);
+  /// Whether a stored document holds the last results of the chunk that is being written.
+  [[nodiscard]] bool ends_with_chunk(std::string_view stored) const;
   void save_progress(time_point now);
   void cancel_run(std::size_t n, jobs::run_outcome outcome, std::string_view reason);
 
--- a/libs/instance/job_store.cpp
+++ b/libs/instance/job_store.cpp
@@ -16,6 +16,8 @@
 /// have ended. A job must stop within 3 s of its end, also after a network partition has healed.
 constexpr duration watch_wait = seconds(4);
 constexpr duration watch_pause = milliseconds(200);
+/// Text of results in one stored value. The store's limit for an encoded value is 1 MB.
+constexpr std::size_t max_results_bytes = 512UL * 1024;
 
 error unavailable(std::string_view what) {
   return {error_code::unavailable,
@@ -283,10 +285,16 @@
                                const std::vector<jobs::item_result>& results,
                                std::function<void(commit_answer)> done) {
   const std::string& job = owner.record.id;
-  const std::string key = jobs::results_key(job, first + results.size());
   store_change change;
-  change.expected = {{jobs::record_key(job), owner.revision}, {key, 0}};
-  change.puts = {{key, jobs::to_document(results), 0}};
+  change.expected = {{jobs::record_key(job), owner.revision}};
+  std::size_t end = first;
+  for (const std::span<const jobs::item_result> part :
+       jobs::split_results(results, max_results_bytes)) {
+    end += part.size();
+    const std::string key = jobs::results_key(job, end);
+    change.expected.push_back({key, 0});
+    change.puts.push_back({key, jobs::to_document(part), 0});
+  }
   context_.store.commit(change, std::move(done));
 }
 
--- a/libs/instance/job_store.h
+++ b/libs/instance/job_store.h
@@ -87,7 +87,8 @@
   /// Replaces a record if its revision in the store is unchanged.
   void replace_record(const stored_record& old, jobs::job_record next,
                       std::function<void(result<stored_record>)> done);
-  /// Adds a chunk of results from position `first` on, if the record's revision is unchanged.
+  /// Adds a chunk of results from position `first` on, all or none, if the record's revision is
+  /// unchanged. The conflict of a chunk that is already stored names the key of its last position.
   void append_results(const stored_record& owner, std::size_t first,
                       const std::vector<jobs::item_result>& results,
                       std::function<void(commit_answer)> done);
--- a/libs/jobs/job_documents.cpp
+++ b/libs/jobs/job_documents.cpp
@@ -173,6 +173,26 @@
   return it;
 }
 
+std::vector<std::span<const item_result>> split_results(std::span<const item_result> results,
+                                                        std::size_t max_bytes) {
+  std::vector<std::span<const item_result>> parts;
+  std::size_t first = 0;
+  std::size_t bytes = 0;
+  for (std::size_t n = 0; n < results.size(); ++n) {
+    const std::size_t size = results[n].text.size();
+    if (n > first && bytes + size > max_bytes) {
+      parts.push_back(results.subspan(first, n - first));
+      first = n;
+      bytes = 0;
+    }
+    bytes += size;
+  }
+  if (first < results.size()) {
+    parts.push_back(results.subspan(first));
+  }
+  return parts;
+}
+
 std::string to_document(std::span<const item_result> results) {
   json out = json::array();
   for (const item_result& it : results) {
--- a/libs/jobs/job_documents.h
+++ b/libs/jobs/job_documents.h
@@ -14,6 +14,9 @@
 
 std::string to_document(const job& contents);
 std::string to_document(const job_record& record);
+/// Splits results into parts of at most `max_bytes` of text, each of at least one result.
+std::vector<std::span<const item_result>> split_results(std::span<const item_result> results,
+                                                        std::size_t max_bytes);
 std::string to_document(std::span<const item_result> results);
 std::string to_document(std::span<const item_progress> texts);
 
--- a/tests/jobs/job_documents_test.cpp
+++ b/tests/jobs/job_documents_test.cpp
@@ -93,6 +93,25 @@
   CHECK_FALSE(progress_from_document("nothing"));
 }
 
+// Guards against a listing that completes a step but whose second part is written, and read, later:
+// the trainer pauses in between.
+TEST_CASE("results of any size are split into parts that a stored value holds") {
+  std::vector<item_result> results(5);
+  for (std::size_t n = 0; n < results.size(); ++n) {
+    results[n].text = std::string(n == 3 ? 300 : 50, 'x');
+  }
+  std::vector<std::size_t> sizes;
+  const item_result* next = results.data();
+  for (const auto part : split_results(results, 100)) {
+    CHECK(part.data() == next);
+    next += part.size();
+    sizes.push_back(part.size());
+  }
+  // The fourth result alone is larger than a part.
+  CHECK(sizes == std::vector<std::size_t>{2, 1, 1, 1});
+  CHECK(split_results({}, 100).empty());
+}
+
 TEST_CASE("result keys sort by position and contain the position after their last result") {
   CHECK(results_key("j", 9) < results_key("j", 10));
   CHECK(results_key("j", 99'999) < results_key("j", 100'000));
