Let the watchers of the data centres share one watch of the store

Cause: each data centre had a watcher of its own, so each change and each confirmation of a copy cost the store a call per data centre, and all instances of a starting deployment listed each prefix at the store, because their source had no copy yet.

Change: the oldest watcher calls the store, and the others call it. Answers state the age of the copy, so a copy of a copy is withheld as early as the first one. Instances call a newly assigned source again for 0.6 s before they call the store, and a copy stays when only its source changes.

Tests: shared_store_test (the watchers of the data centres share one watch), watch_mirror_test, member_table_test.

--- a/libs/duties/member_table.cpp
+++ b/libs/duties/member_table.cpp
@@ -120,6 +120,20 @@
   return list.size() < min_shared_watch_members ? nullptr : oldest_of(list);
 }
 
+const member* member_table::first_watcher() const {
+  std::set<std::string_view> data_centres;
+  for (const auto& [key, it] : by_key_) {
+    data_centres.insert(it.data_centre);
+  }
+  std::vector<const member*> watchers;
+  for (const std::string_view it : data_centres) {
+    if (const member* watcher = watcher_of(it); watcher != nullptr) {
+      watchers.push_back(watcher);
+    }
+  }
+  return oldest_of(watchers);
+}
+
 std::vector<const member*> member_table::candidates_for(std::string_view work_id) const {
   auto list = active();
   double max_processor = 0;
--- a/libs/duties/member_table.h
+++ b/libs/duties/member_table.h
@@ -72,6 +72,9 @@
   /// `min_shared_watch_members` of them are not draining. It is the oldest one there, so that it
   /// rarely changes.
   [[nodiscard]] const member* watcher_of(std::string_view data_centre) const;
+  /// The member that watches the store for those of the other data centres that watch for theirs:
+  /// the oldest of them. Nullptr if there is none.
+  [[nodiscard]] const member* first_watcher() const;
   /// The member that is to run a piece of work, for example a job, chosen by rendezvous hashing of
   /// its id; nullptr if there is none. Every instance with the same members chooses the same one.
   /// It is never a draining member, and is one of those with the most processor time, because a
--- a/libs/instance/member_task.cpp
+++ b/libs/instance/member_task.cpp
@@ -130,14 +130,19 @@
   if (watcher == nullptr) {
     return watch_directly{};
   }
+  // The entry of a former process of this instance may still exist.
+  const auto address_of = [this](const duties::member& it) -> std::optional<net::address> {
+    const net::address address = net::parse_address(it.relay);
+    return address.port == 0 || it.instance == context_.identity.name ? std::nullopt
+                                                                      : std::optional(address);
+  };
   if (watcher->id == context_.identity.member_id()) {
-    return watch_for_others{};
-  }
-  const net::address relay_address = net::parse_address(watcher->relay);
-  if (relay_address.port == 0 || watcher->instance == context_.identity.name) {
-    return watch_directly{};
+    const duties::member* first = members_.first_watcher();
+    return watch_for_others{first == nullptr || first->id == watcher->id ? std::nullopt
+                                                                         : address_of(*first)};
   }
-  return watch_through{relay_address};
+  const auto source = address_of(*watcher);
+  return source ? watch_role(watch_through{*source}) : watch_directly{};
 }
 
 std::optional<duty_holder> member_task::permit(time_point now) const {
--- a/libs/instance/shared_store.cpp
+++ b/libs/instance/shared_store.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include "base/overloaded.h"
 #include "instance/call_limits.h"
 #include "instance/error_response.h"
 #include "instance/prefix_watch.h"
@@ -36,6 +37,17 @@
 /// detected when the watch times out.
 constexpr duration source_watch_wait = seconds(1);
 constexpr duration source_timeout_slack = milliseconds(400);
+/// The same for an instance that serves others. Its source answers whenever the store confirms the
+/// copy there, and a source that does not must be noticed before the own copy counts as
+/// unconfirmed.
+constexpr duration upstream_watch_wait = milliseconds(1550);
+constexpr duration upstream_timeout_slack = milliseconds(100);
+static_assert(confirm_interval < upstream_watch_wait);
+static_assert(upstream_watch_wait + upstream_timeout_slack < max_unconfirmed_time);
+/// Time that a newly assigned source has to list the keys before the store is called instead, and
+/// the delay between two calls until it has.
+constexpr duration source_start_time = milliseconds(600);
+constexpr duration source_start_retry = milliseconds(100);
 /// Delay before an unresponsive source is called again. Its member entry expires after three
 /// seconds.
 constexpr duration source_retry_delay = seconds(1);
@@ -47,6 +59,11 @@
 constexpr duration max_watch_pause = seconds(1);
 constexpr duration shared_watch_pause = milliseconds(400);
 
+/// Query parameter of an instance that serves others.
+constexpr std::string_view serves_parameter = "serves_others";
+/// Header of an answer: how long ago the store confirmed the copy, in microseconds.
+constexpr std::string_view age_header = "Boragedoor-Age";
+
 constexpr int ok = 200;
 constexpr int gone = 410;
 constexpr int service_unavailable = 503;
@@ -70,8 +87,8 @@
                     max_watch_pause);
 }
 
-duration pause_for(const watch_for_others& /*role*/, std::size_t /*instances*/) {
-  return shared_watch_pause;
+duration pause_for(const watch_for_others& role, std::size_t /*instances*/) {
+  return role.upstream ? min_watch_pause : shared_watch_pause;
 }
 
 duration pause_for(const watch_through& /*role*/, std::size_t /*instances*/) {
@@ -102,9 +119,15 @@
   if (role == role_) {
     return false;
   }
+  // The copy stays valid if only its source changes.
+  const bool keeps_copy = serves_others() && std::holds_alternative<watch_for_others>(role);
   role_ = std::move(role);
-  ++role_generation_;
+  source_since_ = loop_.now();
   source_retry_at_ = {};
+  if (keeps_copy) {
+    return true;
+  }
+  ++role_generation_;
   for (auto& [name, it] : prefixes_) {
     it.mirror.clear();
     while (!it.pending.empty()) {
@@ -119,40 +142,74 @@
   return it == prefixes_.end() ? nullptr : &it->second;
 }
 
+const net::address* shared_store::assigned_source() const {
+  return std::visit(
+      overloaded{[](const watch_directly&) -> const net::address* { return nullptr; },
+                 [](const watch_for_others& it) { return it.upstream ? &*it.upstream : nullptr; },
+                 [](const watch_through& it) { return &it.source; }},
+      role_);
+}
+
 const net::address* shared_store::source(time_point now) const {
-  const auto* through = std::get_if<watch_through>(&role_);
-  return through != nullptr && now >= source_retry_at_ ? &through->source : nullptr;
+  return now >= source_retry_at_ ? assigned_source() : nullptr;
 }
 
 void shared_store::call_source(std::string target, duration wait,
-                               std::function<void(std::optional<std::string>)> done) {
+                               std::function<void(std::optional<source_answer>)> done) {
   http1::call_spec spec;
   spec.target = *source(loop_.now());
-  spec.message = {"GET", std::move(target), {{"Host", net::to_string(spec.target)}}, {}};
+  spec.message = {"GET", target, {{"Host", net::to_string(spec.target)}}, {}};
   spec.connect_timeout = connect_timeout;
-  spec.progress_timeout = wait + source_timeout_slack;
+  spec.progress_timeout = wait + (serves_others() ? upstream_timeout_slack : source_timeout_slack);
   spec.max_body_bytes = max_instance_answer_bytes;
   http1::call_callbacks callbacks;
-  callbacks.on_end = [this, alive = alive_, generation = role_generation_, address = spec.target,
-                      done = std::move(done)](http1::call_outcome outcome, http1::response it) {
+  callbacks.on_end = [this, alive = alive_, address = spec.target, target = std::move(target), wait,
+                      done = std::move(done)](http1::call_outcome outcome,
+                                              http1::response it) mutable {
     if (!*alive) {
       return;
     }
-    const bool answered =
-        outcome == http1::call_outcome::complete && (it.status == ok || it.status == gone);
-    if (answered) {
-      done(it.status == ok ? std::optional(std::move(it.body)) : std::string());
+    const auto age = http1::integer_header(it.headers, age_header);
+    const bool complete = outcome == http1::call_outcome::complete;
+    // Instances of earlier versions state no age, which only those that serve others need.
+    const bool has_age = age || !serves_others();
+    if (complete && ((it.status == ok && has_age) || it.status == gone)) {
+      done(source_answer{it.status == ok ? std::move(it.body) : std::string(),
+                         duration(age.value_or(0))});
       return;
     }
-    client_.drop_idle(address);
-    if (generation == role_generation_) {
-      source_retry_at_ = loop_.now() + source_retry_delay;
-    }
-    done(std::nullopt);
+    on_source_failure(address, complete ? it.status : 0, std::move(target), wait, std::move(done));
   };
   client_.send(std::move(spec), std::move(callbacks));
 }
 
+void shared_store::on_source_failure(const net::address& address, int status, std::string target,
+                                     duration wait,
+                                     std::function<void(std::optional<source_answer>)> done) {
+  const time_point now = loop_.now();
+  const net::address* const assigned = assigned_source();
+  const bool is_assigned = assigned != nullptr && *assigned == address;
+  if (status == service_unavailable && is_assigned && now < source_since_ + source_start_time) {
+    loop_.post_after(source_start_retry, [this, alive = alive_, target = std::move(target), wait,
+                                          done = std::move(done)]() mutable {
+      if (!*alive) {
+        return;
+      }
+      if (source(loop_.now()) == nullptr) {
+        done(std::nullopt);
+      } else {
+        call_source(std::move(target), wait, std::move(done));
+      }
+    });
+    return;
+  }
+  client_.drop_idle(address);
+  if (is_assigned) {
+    source_retry_at_ = now + source_retry_delay;
+  }
+  done(std::nullopt);
+}
+
 void shared_store::list(const std::string& prefix, const std::string& after,
                         std::function<void(list_answer)> done) {
   shared_prefix* const entry = find(prefix);
@@ -160,20 +217,27 @@
     list_store(prefix, after, std::move(done));
     return;
   }
-  call_source(
-      fmt::format("{}?prefix={}", list_path, net::encode_component(prefix)), duration::zero(),
-      [this, entry, prefix, done = std::move(done)](const std::optional<std::string>& message) {
-        auto answer = message ? list_answer_from_message(*message)
-                              : result<list_answer>(
-                                    error{error_code::unavailable, "the instance did not respond"});
-        // A list older than the last known revision would restore removed keys.
-        if (!answer || answer.value().as_of < entry->last_revision) {
-          list_store(prefix, {}, done);
-          return;
-        }
-        entry->last_revision = answer.value().as_of;
-        done(std::move(answer).value());
-      });
+  call_source(fmt::format("{}?prefix={}&{}={:d}", list_path, net::encode_component(prefix),
+                          serves_parameter, serves_others()),
+              duration::zero(),
+              [this, entry, prefix, generation = role_generation_, sent_at = loop_.now(),
+               done = std::move(done)](const std::optional<source_answer>& from) {
+                auto answer = from ? list_answer_from_message(from->message)
+                                   : result<list_answer>(error{error_code::unavailable,
+                                                               "the instance did not respond"});
+                // A list older than the last known revision would restore removed keys.
+                if (!answer || answer.value().as_of < entry->last_revision) {
+                  list_store(prefix, {}, done);
+                  return;
+                }
+                if (generation == role_generation_ && serves_others()) {
+                  entry->mirror.apply_page(
+                      answer.value(), true,
+                      {.sent_at = sent_at, .answered_at = loop_.now(), .age = from->age});
+                }
+                entry->last_revision = answer.value().as_of;
+                done(std::move(answer).value());
+              });
 }
 
 void shared_store::list_store(const std::string& prefix, const std::string& after,
@@ -183,19 +247,19 @@
     store_.list(prefix, after, std::move(done));
     return;
   }
-  store_.list(
-      prefix, after,
-      [this, alive = alive_, entry, generation = role_generation_, first = after.empty(),
-       sent_at = loop_.now(), done = std::move(done)](list_answer it) {
-        if (!*alive) {
-          return;
-        }
-        if (generation == role_generation_ && std::holds_alternative<watch_for_others>(role_)) {
-          entry->mirror.apply_page(it, first, {.sent_at = sent_at, .answered_at = loop_.now()});
-        }
-        entry->last_revision = std::max(entry->last_revision, it.as_of);
-        done(std::move(it));
-      });
+  store_.list(prefix, after,
+              [this, alive = alive_, entry, generation = role_generation_, first = after.empty(),
+               sent_at = loop_.now(), done = std::move(done)](list_answer it) {
+                if (!*alive) {
+                  return;
+                }
+                if (generation == role_generation_ && serves_others()) {
+                  entry->mirror.apply_page(it, first,
+                                           {.sent_at = sent_at, .answered_at = loop_.now()});
+                }
+                entry->last_revision = std::max(entry->last_revision, it.as_of);
+                done(std::move(it));
+              });
 }
 
 void shared_store::watch(const std::string& prefix, std::uint64_t after, duration wait,
@@ -209,41 +273,57 @@
     watch_store(prefix, after, wait, std::move(done));
     return;
   }
-  const duration limit = std::min(wait, source_watch_wait);
-  call_source(fmt::format("{}?prefix={}&after={}&wait_ms={}", watch_path,
-                          net::encode_component(prefix), after, to_milliseconds(limit)),
-              limit,
-              [this, entry, prefix, after, wait,
-               done = std::move(done)](const std::optional<std::string>& message) {
-                result<watch_answer> answer =
-                    error{error_code::unavailable, "the instance did not respond"};
-                if (message) {
-                  answer = message->empty()
-                               ? result<watch_answer>(watch_answer{store_status::missing, {}, 0})
-                               : watch_answer_from_message(*message);
-                }
-                if (!answer) {
-                  // The store watch starts at the same revision, so it returns any change made in
-                  // the meantime at once.
-                  watch_store(prefix, after, wait, done);
-                  return;
-                }
-                entry->last_revision = std::max(entry->last_revision, answer.value().as_of);
-                done(std::move(answer).value());
-              });
+  const bool serves = serves_others();
+  if (serves && !entry->mirror.is_complete()) {
+    request_list(std::move(done));
+    return;
+  }
+  const duration limit = serves ? upstream_watch_wait : std::min(wait, source_watch_wait);
+  call_source(
+      fmt::format("{}?prefix={}&after={}&wait_ms={}&{}={:d}", watch_path,
+                  net::encode_component(prefix), after, to_milliseconds(limit), serves_parameter,
+                  serves),
+      limit,
+      [this, entry, prefix, after, wait, limit, serves, generation = role_generation_,
+       sent_at = loop_.now(), done = std::move(done)](const std::optional<source_answer>& from) {
+        result<watch_answer> answer =
+            error{error_code::unavailable, "the instance did not respond"};
+        if (from) {
+          answer = from->message.empty()
+                       ? result<watch_answer>(watch_answer{store_status::missing, {}, 0})
+                       : watch_answer_from_message(from->message);
+        }
+        if (!answer) {
+          // The store watch starts at the same revision, so it returns any change made in the
+          // meantime at once.
+          watch_store(prefix, after, wait, done);
+          return;
+        }
+        entry->last_revision = std::max(entry->last_revision, answer.value().as_of);
+        if (serves && generation == role_generation_) {
+          apply_watch_answer(
+              *entry, answer.value(),
+              {.sent_at = sent_at, .wait = limit, .answered_at = loop_.now(), .age = from->age});
+        }
+        done(std::move(answer).value());
+      });
+}
+
+void shared_store::request_list(std::function<void(watch_answer)> done) {
+  // `missing` makes the caller list the prefix again, which fills the mirror.
+  loop_.post([alive = alive_, done = std::move(done)] {
+    if (*alive) {
+      done({store_status::missing, {}, 0});
+    }
+  });
 }
 
 void shared_store::watch_store(const std::string& prefix, std::uint64_t after, duration wait,
                                std::function<void(watch_answer)> done) {
   shared_prefix& entry = prefixes_.find(prefix)->second;
-  const bool serves = std::holds_alternative<watch_for_others>(role_);
+  const bool serves = serves_others();
   if (serves && !entry.mirror.is_complete()) {
-    // `missing` makes the caller list the prefix again, which fills the mirror.
-    loop_.post([alive = alive_, done = std::move(done)] {
-      if (*alive) {
-        done({store_status::missing, {}, 0});
-      }
-    });
+    request_list(std::move(done));
     return;
   }
   const time_point now = loop_.now();
@@ -291,28 +371,39 @@
   }
   shared_prefix* const entry =
       find(http1::query_parameter(target, "prefix").value_or(std::string()));
-  if (entry == nullptr || !std::holds_alternative<watch_for_others>(role_) || !is_fresh(*entry)) {
+  // An instance with a source of its own does not serve those that serve others: two of them could
+  // follow each other.
+  const bool for_server = http1::number_parameter(target, serves_parameter) != 0;
+  if (entry == nullptr || !serves_others() || (for_server && assigned_source() != nullptr) ||
+      !is_fresh(*entry)) {
     exchange->respond(not_watching_response());
   } else if (path == list_path) {
-    exchange->respond(
-        {ok, {{"Content-Type", "application/cbor"}}, to_message(entry->mirror.list())});
+    exchange->respond(with_age(
+        *entry, {ok, {{"Content-Type", "application/cbor"}}, to_message(entry->mirror.list())}));
   } else {
-    answer_watch(*entry, http1::number_parameter(target, "after"),
-                 milliseconds(http1::number_parameter(target, "wait_ms")), exchange);
+    const duration wait = milliseconds(http1::number_parameter(target, "wait_ms"));
+    const duration limit = for_server ? upstream_watch_wait : source_watch_wait;
+    answer_watch(*entry, {.after = http1::number_parameter(target, "after"),
+                          .exchange = exchange,
+                          .ends_at = loop_.now() + std::min(wait, limit),
+                          .serves_others = for_server});
   }
   return true;
 }
 
-void shared_store::answer_watch(shared_prefix& entry, std::uint64_t after, duration wait,
-                                const std::shared_ptr<http1::exchange>& exchange) {
-  if (const auto changes = entry.mirror.changes(after)) {
-    exchange->respond(to_response(*changes));
+http1::response shared_store::with_age(const shared_prefix& entry, http1::response it) const {
+  it.headers.emplace_back(age_header, std::to_string(entry.mirror.age(loop_.now()).count()));
+  return it;
+}
+
+void shared_store::answer_watch(shared_prefix& entry, pending_watch call) {
+  if (const auto changes = entry.mirror.changes(call.after)) {
+    call.exchange->respond(with_age(entry, to_response(*changes)));
     return;
   }
   const std::uint64_t id = ++last_pending_id_;
-  entry.pending.emplace(
-      id, pending_watch{after, exchange, loop_.now() + std::min(wait, source_watch_wait)});
-  exchange->on_left([&entry, id] { entry.pending.erase(id); });
+  call.exchange->on_left([&entry, id] { entry.pending.erase(id); });
+  entry.pending.emplace(id, std::move(call));
   schedule_end(entry, id);
 }
 
@@ -340,13 +431,18 @@
   std::vector<std::pair<std::shared_ptr<http1::exchange>, watch_answer>> due;
   std::erase_if(entry.pending, [&](const auto& it) {
     auto changes = entry.mirror.changes(it.second.after);
+    if (!changes && it.second.serves_others) {
+      changes = watch_answer{.status = store_status::ok,
+                             .events = {},
+                             .as_of = std::max(it.second.after, entry.mirror.as_of())};
+    }
     if (changes) {
       due.emplace_back(it.second.exchange, std::move(*changes));
     }
     return changes.has_value();
   });
   for (const auto& [exchange, changes] : due) {
-    exchange->respond(to_response(changes));
+    exchange->respond(with_age(entry, to_response(changes)));
   }
 }
 
@@ -358,8 +454,8 @@
   const pending_watch ended = std::move(it->second);
   entry.pending.erase(it);
   if (is_fresh(entry)) {
-    ended.exchange->respond(
-        to_response({store_status::ok, {}, std::max(ended.after, entry.mirror.as_of())}));
+    ended.exchange->respond(with_age(
+        entry, to_response({store_status::ok, {}, std::max(ended.after, entry.mirror.as_of())})));
   } else {
     ended.exchange->respond(not_watching_response());
   }
--- a/libs/instance/shared_store.h
+++ b/libs/instance/shared_store.h
@@ -22,8 +22,11 @@
 struct watch_directly {
   friend bool operator==(const watch_directly&, const watch_directly&) = default;
 };
-/// This instance watches the store and serves the list and watch calls of other instances.
+/// This instance serves the list and watch calls of the other instances of its data centre. It
+/// sends its own to `upstream`, which watches for all data centres, or watches the store itself if
+/// it is that instance.
 struct watch_for_others {
+  std::optional<net::address> upstream{};
   friend bool operator==(const watch_for_others&, const watch_for_others&) = default;
 };
 /// This instance sends its list and watch calls to `source`, which watches for others.
@@ -41,6 +44,10 @@
 /// Shares the list and watch calls for some prefixes between instances. All other calls are
 /// forwarded to the store unchanged.
 ///
+/// One instance calls the store, one in each data centre calls that one, and the others call the
+/// one in their data centre. An answer states how long ago the store confirmed it, so a copy of a
+/// copy is withheld as early as the first one.
+///
 /// If the source instance does not respond, or the store has not confirmed its mirror recently, it
 /// is not called for a retry delay and the store is called instead. Store revisions order all
 /// responses, so responses from the source and from the store can be mixed.
@@ -75,6 +82,9 @@
     std::uint64_t after = 0;
     std::shared_ptr<http1::exchange> exchange;
     time_point ends_at{};
+    /// The caller serves the other instances of its data centre, so it needs to know when the store
+    /// confirms the copy.
+    bool serves_others = false;
   };
   struct shared_prefix {
     watch_mirror mirror;
@@ -84,18 +94,36 @@
   };
 
   shared_prefix* find(std::string_view prefix);
+  /// An answer of the source.
+  struct source_answer {
+    /// Empty if the source no longer has the history that the call needs.
+    std::string message;
+    /// How long before its answer the store confirmed the copy of the source.
+    duration age{};
+  };
+
+  [[nodiscard]] bool serves_others() const {
+    return std::holds_alternative<watch_for_others>(role_);
+  }
+  /// The instance that the role names, also while it is not called.
+  [[nodiscard]] const net::address* assigned_source() const;
   [[nodiscard]] const net::address* source(time_point now) const;
   void call_source(std::string target, duration wait,
-                   std::function<void(std::optional<std::string>)> done);
+                   std::function<void(std::optional<source_answer>)> done);
+  /// Handles the answers that are none: calls again shortly if the source may still be listing.
+  void on_source_failure(const net::address& address, int status, std::string target, duration wait,
+                         std::function<void(std::optional<source_answer>)> done);
   void list_store(const std::string& prefix, const std::string& after,
                   std::function<void(list_answer)> done);
+  /// Answers a watch call so that its caller lists the keys.
+  void request_list(std::function<void(watch_answer)> done);
   void watch_store(const std::string& prefix, std::uint64_t after, duration wait,
                    std::function<void(watch_answer)> done);
   void apply_watch_answer(shared_prefix& entry, const watch_answer& it, const call_times& times);
   /// Whether the copy may be served to other instances.
   [[nodiscard]] bool is_fresh(const shared_prefix& entry) const;
-  void answer_watch(shared_prefix& entry, std::uint64_t after, duration wait,
-                    const std::shared_ptr<http1::exchange>& exchange);
+  [[nodiscard]] http1::response with_age(const shared_prefix& entry, http1::response it) const;
+  void answer_watch(shared_prefix& entry, pending_watch call);
   /// Ends a pending watch when its time is over, or when the copy is not fresh any more.
   void schedule_end(shared_prefix& entry, std::uint64_t id);
   void answer_pending(shared_prefix& entry);
@@ -109,6 +137,8 @@
   /// Incremented with each role change. Responses to calls made in an earlier role do not update
   /// the mirror or the retry time of the source.
   std::uint64_t role_generation_ = 0;
+  /// When the source was assigned.
+  time_point source_since_{};
   time_point source_retry_at_{};
   std::uint64_t last_pending_id_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/libs/instance/watch_mirror.cpp
+++ b/libs/instance/watch_mirror.cpp
@@ -45,7 +45,7 @@
   }
   as_of_ = std::max(as_of_, answer.as_of);
   if (answer.events.empty()) {
-    answer_delay_ = times.answered_at - times.confirmed_at();
+    answer_delay_ = times.answered_at - times.age - times.confirmed_at();
   }
   confirmed_at_ = std::max(confirmed_at_, times.confirmed_at());
   confirmed_ = true;
--- a/libs/instance/watch_mirror.h
+++ b/libs/instance/watch_mirror.h
@@ -18,9 +18,13 @@
   time_point sent_at;
   duration wait{};
   time_point answered_at;
+  /// Age of the copy from which another instance answered in place of the store.
+  duration age{};
 
   /// A time at which the answer was true: the store did not write it before.
-  [[nodiscard]] time_point confirmed_at() const { return std::min(answered_at, sent_at + wait); }
+  [[nodiscard]] time_point confirmed_at() const {
+    return std::min(answered_at, sent_at + wait) - age;
+  }
 };
 
 /// Holds a copy of the keys of one prefix and their latest changes, from which an instance serves
@@ -44,6 +48,8 @@
   [[nodiscard]] bool is_complete() const { return complete_; }
   /// Whether the copy is complete, and is known to have had all changes `limit` ago or later.
   [[nodiscard]] bool is_fresh(time_point now, duration limit) const;
+  /// Returns how long ago the copy was known to have all changes.
+  [[nodiscard]] duration age(time_point now) const { return now - confirmed_at_; }
   /// Returns for how long the copy stays fresh if the store does not confirm it again.
   [[nodiscard]] duration fresh_for(time_point now, duration limit) const;
   /// Returns how long the store may keep the next watch call, so that its answer confirms the copy
--- a/tests/duties/member_table_test.cpp
+++ b/tests/duties/member_table_test.cpp
@@ -102,6 +102,24 @@
     CHECK(table.watcher_of("dc-9")->instance == "m3");
   }
 
+  SECTION("the oldest of the watchers watches the store for the other data centres") {
+    // Models 4 data centres with 16 instances each, whose watchers would each cost the store a call
+    // for every change.
+    CHECK(table.first_watcher() == nullptr);
+    for (std::size_t n = 0; n < member_table::min_shared_watch_members; ++n) {
+      table.put(fmt::format("k{}", n), make_member(fmt::format("m{}", n), 20 + n, "dc-8"));
+      table.put(fmt::format("l{}", n), make_member(fmt::format("n{}", n), 10 + n, "dc-9"));
+    }
+    table.put("far", make_member("far", 1, "dc-2"));
+    REQUIRE(table.first_watcher() != nullptr);
+    CHECK(table.first_watcher()->instance == "n0");
+
+    // Without its first member, dc-9 has too few members to share a watch.
+    table.remove("l0", start);
+    REQUIRE(table.first_watcher() != nullptr);
+    CHECK(table.first_watcher()->instance == "m0");
+  }
+
   SECTION("work is taken over only from members that remain missing") {
     // Leases expire during a store outage; their holders register again soon after it.
     CHECK_FALSE(table.is_gone("a/boot", start, start + seconds(60)));
--- a/tests/platform/shared_store_test.cpp
+++ b/tests/platform/shared_store_test.cpp
@@ -150,6 +150,77 @@
   }
 }
 
+// Guards against store load that grows with the number of data centres: their watchers share one
+// watch as well.
+TEST_CASE("the watchers of the data centres share one watch") {
+  auto loop = net::event_loop::create().value();
+  store_stand_in store(*loop);
+  store.put("p/1", 1);
+  follower first(*loop, store.address());
+  follower second(*loop, store.second_address());
+  follower other(*loop, store.second_address());
+  const auto until = [&](const auto& done) { REQUIRE(loop->run_until(done, test_timeout)); };
+  const auto know = [&](const std::string& key) {
+    until([&] { return first.items.contains(key); });
+    until([&] { return second.items.contains(key); });
+    until([&] { return other.items.contains(key); });
+  };
+  const instance::watch_for_others through_first{first.relay->local_address()};
+  const instance::watch_through through_second{second.relay->local_address()};
+  first.shared.set_role(instance::watch_for_others{});
+  second.shared.set_role(through_first);
+  other.shared.set_role(through_second);
+  know("p/1");
+  // Each follower ends the watch of its former role with the first of these changes.
+  for (const std::string key : {"p/2", "p/3"}) {
+    store.put(key, 0);
+    know(key);
+  }
+
+  SECTION("a change passes through both without further calls to the store") {
+    store.set_fault(store_fault::silent, 1);
+    store.put("p/4", 4);
+    store.erase("p/1");
+    know("p/4");
+    until([&] { return !other.items.contains("p/1"); });
+  }
+
+  SECTION("copies stay in use while nothing changes") {
+    store.set_fault(store_fault::silent, 1);
+    // Longer than a copy is served without a confirmation.
+    loop->run_until([] { return false; }, seconds(4));
+    store.put("p/4", 4);
+    know("p/4");
+  }
+
+  SECTION("both call the store if the first one does not get its answers") {
+    // The first instance loses its way to the store without notice, right after an answer.
+    const int calls = store.calls("/kv-watch");
+    store.set_fault(store_fault::silent);
+    store.put("p/4", 0);
+    until([&] { return other.items.contains("p/4") && store.calls("/kv-watch") > calls; });
+    store.put("p/5", 0);
+    until([&] { return other.items.contains("p/5"); });
+    CHECK_FALSE(first.items.contains("p/5"));
+  }
+
+  SECTION("a copy stays when only its source changes") {
+    second.shared.set_role(instance::watch_for_others{});
+    first.shared.set_role(instance::watch_for_others{second.relay->local_address()});
+    const int lists = store.calls("/kv-range");
+    store.put("p/4", 0);
+    know("p/4");
+    CHECK(store.calls("/kv-range") == lists);
+  }
+
+  SECTION("two watchers that name each other as source call the store") {
+    // Their lists of members differ for a moment.
+    first.shared.set_role(instance::watch_for_others{second.relay->local_address()});
+    store.put("p/4", 0);
+    know("p/4");
+  }
+}
+
 TEST_CASE("an instance calls the store if its source does not respond") {
   // The watching instance hangs: its connections stay open and it sends no response.
   auto loop = net::event_loop::create().value();
--- a/tests/platform/watch_mirror_test.cpp
+++ b/tests/platform/watch_mirror_test.cpp
@@ -46,6 +46,29 @@
   CHECK_FALSE(mirror.is_complete());
 }
 
+// Guards against an instance that serves an old copy because it got it from another one just now.
+TEST_CASE("a copy of a copy is as old as the first one") {
+  watch_mirror mirror;
+  mirror.apply_page({store_status::ok, {make_item("a", 3)}, false, 5}, true,
+                    {.sent_at = start, .answered_at = start, .age = milliseconds(1500)});
+  CHECK(mirror.age(start) == milliseconds(1500));
+  CHECK(mirror.is_fresh(start + milliseconds(500), limit));
+  CHECK_FALSE(mirror.is_fresh(start + milliseconds(501), limit));
+
+  SECTION("an answer from an older copy does not make it older") {
+    mirror.apply_events({store_status::ok, {}, 5},
+                        {.sent_at = start, .answered_at = start, .age = milliseconds(1900)});
+    CHECK(mirror.age(start) == milliseconds(1500));
+  }
+  SECTION("an answer from a copy that the store has confirmed makes it fresh") {
+    mirror.apply_events({store_status::ok, {put("a", 7)}, 7}, {.sent_at = start,
+                                                               .wait = seconds(1),
+                                                               .answered_at = start + seconds(1),
+                                                               .age = milliseconds(10)});
+    CHECK(mirror.age(start + seconds(1)) == milliseconds(10));
+  }
+}
+
 TEST_CASE("a watch mirror holds a copy of a prefix") {
   watch_mirror mirror;
   CHECK_FALSE(mirror.is_complete());
