Call the store only for the prefix whose copy is not confirmed

At the start of a deployment, followers gave up on their source before it had begun to list.

Change: a source that answers 503 is not called for that prefix only, and a new source has 1.4 s to list.

--- a/libs/instance/shared_store.cpp
+++ b/libs/instance/shared_store.cpp
@@ -45,8 +45,9 @@
 static_assert(confirm_interval < upstream_watch_wait);
 static_assert(upstream_watch_wait + upstream_timeout_slack < max_unconfirmed_time);
 /// Time that a newly assigned source has to list the keys before the store is called instead, and
-/// the delay between two calls until it has.
-constexpr duration source_start_time = milliseconds(600);
+/// the delay between two calls until it has. At the start of a deployment it begins to list after
+/// 0.6 s.
+constexpr duration source_start_time = milliseconds(1400);
 constexpr duration source_start_retry = milliseconds(100);
 /// Delay before an unresponsive source is called again. Its member entry expires after three
 /// seconds.
@@ -124,6 +125,9 @@
   role_ = std::move(role);
   source_since_ = loop_.now();
   source_retry_at_ = {};
+  for (auto& [name, it] : prefixes_) {
+    it.source_retry_at = {};
+  }
   if (keeps_copy) {
     return true;
   }
@@ -150,62 +154,68 @@
       role_);
 }
 
-const net::address* shared_store::source(time_point now) const {
-  return now >= source_retry_at_ ? assigned_source() : nullptr;
+const net::address* shared_store::source(const shared_prefix& entry, time_point now) const {
+  return now >= std::max(source_retry_at_, entry.source_retry_at) ? assigned_source() : nullptr;
 }
 
-void shared_store::call_source(std::string target, duration wait,
+void shared_store::call_source(shared_prefix& entry, std::string target, duration wait,
                                std::function<void(std::optional<source_answer>)> done) {
   http1::call_spec spec;
-  spec.target = *source(loop_.now());
+  spec.target = *source(entry, loop_.now());
   spec.message = {"GET", target, {{"Host", net::to_string(spec.target)}}, {}};
   spec.connect_timeout = connect_timeout;
   spec.progress_timeout = wait + (serves_others() ? upstream_timeout_slack : source_timeout_slack);
   spec.max_body_bytes = max_instance_answer_bytes;
   http1::call_callbacks callbacks;
-  callbacks.on_end = [this, alive = alive_, address = spec.target, target = std::move(target), wait,
-                      done = std::move(done)](http1::call_outcome outcome,
-                                              http1::response it) mutable {
-    if (!*alive) {
-      return;
-    }
-    const auto age = http1::integer_header(it.headers, age_header);
-    const bool complete = outcome == http1::call_outcome::complete;
-    // Instances of earlier versions state no age, which only those that serve others need.
-    const bool has_age = age || !serves_others();
-    if (complete && ((it.status == ok && has_age) || it.status == gone)) {
-      done(source_answer{it.status == ok ? std::move(it.body) : std::string(),
-                         duration(age.value_or(0))});
-      return;
-    }
-    on_source_failure(address, complete ? it.status : 0, std::move(target), wait, std::move(done));
-  };
+  callbacks.on_end =
+      [this, alive = alive_, &entry, address = spec.target, target = std::move(target), wait,
+       done = std::move(done)](http1::call_outcome outcome, http1::response it) mutable {
+        if (!*alive) {
+          return;
+        }
+        const auto age = http1::integer_header(it.headers, age_header);
+        const bool complete = outcome == http1::call_outcome::complete;
+        // Instances of earlier versions state no age, which only those that serve others need.
+        const bool has_age = age || !serves_others();
+        if (complete && ((it.status == ok && has_age) || it.status == gone)) {
+          done(source_answer{it.status == ok ? std::move(it.body) : std::string(),
+                             duration(age.value_or(0))});
+          return;
+        }
+        on_source_failure(entry, address, complete ? it.status : 0, std::move(target), wait,
+                          std::move(done));
+      };
   client_.send(std::move(spec), std::move(callbacks));
 }
 
-void shared_store::on_source_failure(const net::address& address, int status, std::string target,
-                                     duration wait,
+void shared_store::on_source_failure(shared_prefix& entry, const net::address& address, int status,
+                                     std::string target, duration wait,
                                      std::function<void(std::optional<source_answer>)> done) {
   const time_point now = loop_.now();
   const net::address* const assigned = assigned_source();
   const bool is_assigned = assigned != nullptr && *assigned == address;
   if (status == service_unavailable && is_assigned && now < source_since_ + source_start_time) {
-    loop_.post_after(source_start_retry, [this, alive = alive_, target = std::move(target), wait,
-                                          done = std::move(done)]() mutable {
+    loop_.post_after(source_start_retry, [this, alive = alive_, &entry, target = std::move(target),
+                                          wait, done = std::move(done)]() mutable {
       if (!*alive) {
         return;
       }
-      if (source(loop_.now()) == nullptr) {
+      if (source(entry, loop_.now()) == nullptr) {
         done(std::nullopt);
       } else {
-        call_source(std::move(target), wait, std::move(done));
+        call_source(entry, std::move(target), wait, std::move(done));
       }
     });
     return;
   }
-  client_.drop_idle(address);
-  if (is_assigned) {
-    source_retry_at_ = now + source_retry_delay;
+  if (status == service_unavailable) {
+    // Its copies of other prefixes may be confirmed.
+    entry.source_retry_at = now + source_retry_delay;
+  } else {
+    client_.drop_idle(address);
+    if (is_assigned) {
+      source_retry_at_ = now + source_retry_delay;
+    }
   }
   done(std::nullopt);
 }
@@ -213,11 +223,12 @@
 void shared_store::list(const std::string& prefix, const std::string& after,
                         std::function<void(list_answer)> done) {
   shared_prefix* const entry = find(prefix);
-  if (entry == nullptr || !after.empty() || source(loop_.now()) == nullptr) {
+  if (entry == nullptr || !after.empty() || source(*entry, loop_.now()) == nullptr) {
     list_store(prefix, after, std::move(done));
     return;
   }
-  call_source(fmt::format("{}?prefix={}&{}={:d}", list_path, net::encode_component(prefix),
+  call_source(*entry,
+              fmt::format("{}?prefix={}&{}={:d}", list_path, net::encode_component(prefix),
                           serves_parameter, serves_others()),
               duration::zero(),
               [this, entry, prefix, generation = role_generation_, sent_at = loop_.now(),
@@ -269,7 +280,7 @@
     store_.watch(prefix, after, wait, std::move(done));
     return;
   }
-  if (source(loop_.now()) == nullptr) {
+  if (source(*entry, loop_.now()) == nullptr) {
     watch_store(prefix, after, wait, std::move(done));
     return;
   }
@@ -280,6 +291,7 @@
   }
   const duration limit = serves ? upstream_watch_wait : std::min(wait, source_watch_wait);
   call_source(
+      *entry,
       fmt::format("{}?prefix={}&after={}&wait_ms={}&{}={:d}", watch_path,
                   net::encode_component(prefix), after, to_milliseconds(limit), serves_parameter,
                   serves),
--- a/libs/instance/shared_store.h
+++ b/libs/instance/shared_store.h
@@ -91,6 +91,8 @@
     std::map<std::uint64_t, pending_watch> pending;
     /// Highest revision received from the store or from another instance.
     std::uint64_t last_revision = 0;
+    /// When the source is called again for this prefix, after it had no confirmed copy.
+    time_point source_retry_at{};
   };
 
   shared_prefix* find(std::string_view prefix);
@@ -107,11 +109,13 @@
   }
   /// The instance that the role names, also while it is not called.
   [[nodiscard]] const net::address* assigned_source() const;
-  [[nodiscard]] const net::address* source(time_point now) const;
-  void call_source(std::string target, duration wait,
+  /// The instance to call for a prefix; nullptr if the store is to be called.
+  [[nodiscard]] const net::address* source(const shared_prefix& entry, time_point now) const;
+  void call_source(shared_prefix& entry, std::string target, duration wait,
                    std::function<void(std::optional<source_answer>)> done);
   /// Handles the answers that are none: calls again shortly if the source may still be listing.
-  void on_source_failure(const net::address& address, int status, std::string target, duration wait,
+  void on_source_failure(shared_prefix& entry, const net::address& address, int status,
+                         std::string target, duration wait,
                          std::function<void(std::optional<source_answer>)> done);
   void list_store(const std::string& prefix, const std::string& after,
                   std::function<void(list_answer)> done);
@@ -139,6 +143,7 @@
   std::uint64_t role_generation_ = 0;
   /// When the source was assigned.
   time_point source_since_{};
+  /// When the source is called again, after it did not respond.
   time_point source_retry_at_{};
   std::uint64_t last_pending_id_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
