Load weights first for the trainer whose oldest step is open longest

Cause: engines load about ten versions a second, and three trainers on the same engines want more. The next step of a trainer starts when its oldest open one ends, so that one tells which next step comes first.

Change: job_service passes the submission of each model's oldest open step; weight_schedule ranks loads for next steps by it.

Test: duties_test, sections 'with the sizes of the steps'.

--- a/libs/duties/weight_schedule.cpp
+++ b/libs/duties/weight_schedule.cpp
@@ -5,6 +5,18 @@
 
 namespace boragedoor::duties {
 
+std::string_view to_string(load_purpose it) {
+  switch (it) {
+  case load_purpose::current_step:
+    return "current_step";
+  case load_purpose::next_step:
+    return "next_step";
+  case load_purpose::surplus:
+    return "surplus";
+  }
+  return "unknown";
+}
+
 void weight_schedule::announce(std::string_view model, std::uint64_t version, time_point now) {
   announced_version& it = newest_[std::string(model)];
   if (version > it.version) {
@@ -39,8 +51,10 @@
     }
   }
   for (auto& [model, it] : models) {
-    if (const auto size = step_sizes_.find(model); size != step_sizes_.end()) {
-      it.needed = std::min(it.total, static_cast<std::size_t>((size->second + slots - 1) / slots));
+    if (const auto step = steps_.find(model); step != steps_.end()) {
+      it.needed =
+          std::min(it.total, static_cast<std::size_t>((step->second.items + slots - 1) / slots));
+      it.oldest_open = step->second.oldest_open.value_or(wall_time::max());
     }
   }
   return models;
@@ -82,12 +96,13 @@
     return static_cast<double>(n) / static_cast<double>(covered.needed);
   };
   if (head.too_old && covered.usable < covered.needed) {
-    return {purpose::current_step, share(covered.usable)};
+    return {load_purpose::current_step, wall_time{}, share(covered.usable)};
   }
   if (covered.current < covered.needed) {
-    return {purpose::next_step, share(covered.current)};
+    return {load_purpose::next_step, covered.oldest_open, share(covered.current)};
   }
-  return {purpose::surplus, static_cast<double>(covered.usable + covered.current)};
+  return {load_purpose::surplus, wall_time{},
+          static_cast<double>(covered.usable + covered.current)};
 }
 
 std::optional<load_order>
@@ -112,7 +127,8 @@
     const bool catch_up_due = now - newest_.find(model)->second.since >= options_.catch_up_delay;
     const model_rank need = rank_model(covered, head);
     const bool enough = !head.too_old && !catch_up_due && 2 * (covered.current + 1) > covered.total;
-    if (need.first == purpose::surplus && (enough || (covered.needed > 0 && !surplus_allowed))) {
+    if (std::get<load_purpose>(need) == load_purpose::surplus &&
+        (enough || (covered.needed > 0 && !surplus_allowed))) {
       continue;
     }
     const std::pair rank(need, head.rank);
@@ -125,7 +141,8 @@
   if (best == nullptr) {
     return std::nullopt;
   }
-  return load_order{best->engine->id, std::string(best_model), newest(best_model)};
+  return load_order{best->engine->id, std::string(best_model), newest(best_model),
+                    std::get<load_purpose>(best_rank.first)};
 }
 
 bool weight_schedule::wants_decision(time_point now) const {
--- a/libs/duties/weight_schedule.h
+++ b/libs/duties/weight_schedule.h
@@ -23,11 +23,27 @@
   int slots = 1;
 };
 
+/// The steps of a model that the job records show.
+struct step_demand {
+  /// Items of a step.
+  int items = 0;
+  /// When the oldest open step was submitted; nothing if none is open. Its end lets the trainer
+  /// name the next version and submit the step that needs the newest one.
+  std::optional<wall_time> oldest_open{};
+};
+
+/// What a load is for: engines that a running step lacks, those that the next step will need, or
+/// more than these. Needs go first.
+enum class load_purpose { current_step, next_step, surplus };
+
+std::string_view to_string(load_purpose it);
+
 /// Order to load a version of a model on an engine.
 struct load_order {
   std::string engine;
   std::string model;
   std::uint64_t version = 0;
+  load_purpose purpose = load_purpose::surplus;
 
   friend bool operator==(const load_order&, const load_order&) = default;
 };
@@ -73,17 +89,18 @@
 /// Engines that hold several models cannot load every version of each, and a step waits for slots
 /// if few engines are usable for its model. The steps' sizes tell how many engines each model
 /// needs. A model whose current step lacks engines loads first, then one whose next step will: the
-/// engines with the newest weights when the next version is announced. Once all steps have what
-/// they need, part of the loads goes to the model that has the fewest engines for the current step
-/// and the next one together. Among a model's engines, one that is usable for few models goes
-/// first, then the least loaded.
+/// engines with the newest weights when the next version is announced. Among these, the model whose
+/// oldest open step was submitted first goes first: its trainer submits the next step soonest. Once
+/// all steps have what they need, part of the loads goes to the model that has the fewest engines
+/// for the current step and the next one together. Among a model's engines, one that is usable for
+/// few models goes first, then the least loaded.
 class weight_schedule {
 public:
   explicit weight_schedule(const weight_schedule_options& options = {}) : options_(options) {}
 
-  /// Sets how many items a step of each model has, as far as it is known.
-  void set_step_sizes(std::map<std::string, int, std::less<>> items) {
-    step_sizes_ = std::move(items);
+  /// Sets the steps of each model, as far as they are known.
+  void set_steps(std::map<std::string, step_demand, std::less<>> steps) {
+    steps_ = std::move(steps);
   }
   /// Records an announced version. A version that is not newer than the newest is ignored.
   void announce(std::string_view model, std::uint64_t version, time_point now);
@@ -113,10 +130,9 @@
     std::size_t current = 0;
     /// Engines that run all items of a step at once; 0 if its size is not known.
     std::size_t needed = 0;
+    /// See `step_demand::oldest_open`; the latest time if none is open.
+    wall_time oldest_open = wall_time::max();
   };
-  /// What a load is for. Needs go first.
-  enum class purpose { current_step, next_step, surplus };
-
   [[nodiscard]] std::map<std::string, coverage, std::less<>>
   count_coverage(const std::vector<engine_state>& engines) const;
   /// An engine that may load a model.
@@ -136,8 +152,9 @@
 
   [[nodiscard]] candidate_lists find_candidates(const std::vector<engine_state>& engines,
                                                 time_point now) const;
-  /// Order among the models: the purpose of a load for them, and how much of it is covered.
-  using model_rank = std::pair<purpose, double>;
+  /// Order among the models: the purpose of a load for them, for the next steps the time of the
+  /// oldest open step, and how much of the purpose is covered.
+  using model_rank = std::tuple<load_purpose, wall_time, double>;
   [[nodiscard]] static model_rank rank_model(const coverage& covered, const candidate& head);
   /// Returns the next load, and passes over the candidates that are loading by now.
   [[nodiscard]] std::optional<load_order>
@@ -159,7 +176,7 @@
     time_point since{};
   };
   std::map<std::string, announced_version, std::less<>> newest_;
-  std::map<std::string, int, std::less<>> step_sizes_;
+  std::map<std::string, step_demand, std::less<>> steps_;
   std::map<std::string, load, std::less<>> loading_;
   /// Limit of concurrent loads before `min_concurrent_loads` applies; 0 until a version is
   /// announced. Fractional, because each load that is not slow adds `limit_increase`.
--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -118,16 +118,21 @@
   return static_cast<int>(n);
 }
 
-std::map<std::string, int, std::less<>> job_service::step_sizes() const {
+std::map<std::string, duties::step_demand, std::less<>> job_service::steps() const {
   const wall_time wall = context_.stable_wall_now();
-  std::map<std::string, int, std::less<>> sizes;
+  std::map<std::string, duties::step_demand, std::less<>> steps;
   for (const auto& [job, known] : store_.records()) {
-    if (!known.record.model.empty() && wall - known.record.submitted < step_size_window) {
-      int& size = sizes[known.record.model];
-      size = std::max(size, static_cast<int>(known.record.total));
+    const jobs::job_record& it = known.record;
+    if (it.model.empty() || wall - it.submitted >= step_size_window) {
+      continue;
+    }
+    duties::step_demand& demand = steps[it.model];
+    demand.items = std::max(demand.items, static_cast<int>(it.total));
+    if (!it.ended) {
+      demand.oldest_open = std::min(demand.oldest_open.value_or(it.submitted), it.submitted);
     }
   }
-  return sizes;
+  return steps;
 }
 
 const duties::member* job_service::runner_of(std::string_view route, std::uint64_t step) const {
--- a/libs/instance/job_service.h
+++ b/libs/instance/job_service.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/result.h"
+#include "duties/weight_schedule.h"
 #include "instance/endpoint_verifier.h"
 #include "instance/instance_context.h"
 #include "instance/job_peer.h"
@@ -59,8 +60,8 @@
   /// Number of items in the jobs of all instances that have not ended and were submitted recently
   /// enough to count as demand.
   [[nodiscard]] int open_items() const;
-  /// Number of items of the largest recent step of each model.
-  [[nodiscard]] std::map<std::string, int, std::less<>> step_sizes() const;
+  /// The recent steps of each model, of all instances.
+  [[nodiscard]] std::map<std::string, duties::step_demand, std::less<>> steps() const;
   [[nodiscard]] std::size_t running_jobs() const { return runners_.size(); }
 
 private:
--- a/libs/instance/weight_task.cpp
+++ b/libs/instance/weight_task.cpp
@@ -47,8 +47,8 @@
   if (!members_.permit(now) || !schedule_.wants_decision(now)) {
     return;
   }
-  if (step_sizes_) {
-    schedule_.set_step_sizes(step_sizes_());
+  if (steps_) {
+    schedule_.set_steps(steps_());
   }
   for (const duties::load_order& order : schedule_.decide(ready_engines(), now)) {
     request_report(order, false, now + load_timeout);
@@ -145,8 +145,11 @@
   context_.record(event_number::order_sent, {}, order.engine,
                   {{"model", order.model},
                    {"version", order.version},
+                   {"purpose", to_string(order.purpose)},
                    {"fencing_token", permit->fencing_token},
                    {"expected_sequence", sequence}});
+  context_.count("boragedoor_weight_loads_total", "loads of weights ordered, by what they are for",
+                 to_string(order.purpose));
   context_.calls.send(std::move(spec), std::move(callbacks));
 }
 
--- a/libs/instance/weight_task.h
+++ b/libs/instance/weight_task.h
@@ -24,9 +24,9 @@
   weight_task(weight_task&&) = delete;
   weight_task& operator=(weight_task&&) = delete;
 
-  /// Sets where the number of items comes from that a step of each model has.
-  void set_step_sizes(std::function<std::map<std::string, int, std::less<>>()> sizes) {
-    step_sizes_ = std::move(sizes);
+  /// Sets where the steps of each model come from.
+  void set_steps(std::function<std::map<std::string, duties::step_demand, std::less<>>()> steps) {
+    steps_ = std::move(steps);
   }
   void start();
   /// Maximum number of engines that load weights at the same time.
@@ -51,7 +51,7 @@
 
   instance_context& context_;
   member_task& members_;
-  std::function<std::map<std::string, int, std::less<>>()> step_sizes_;
+  std::function<std::map<std::string, duties::step_demand, std::less<>>()> steps_;
   duties::weight_schedule schedule_;
   net::timer timer_;
   /// Set to false on destruction, after which delayed callbacks do nothing.
--- a/tests/duties/weight_schedule_test.cpp
+++ b/tests/duties/weight_schedule_test.cpp
@@ -183,7 +183,7 @@
       it.slots = 6;
     }
     // Eight concurrent loads. The step of "large" needs 20 engines, that of "small" four.
-    schedule.set_step_sizes({{"large", 120}, {"small", 24}});
+    schedule.set_steps({{"large", {120}}, {"small", {24}}});
     const auto give = [&](std::string_view model, std::size_t first, std::size_t n,
                           std::uint64_t version) {
       for (std::size_t i = first; i < first + n; ++i) {
@@ -216,6 +216,42 @@
             std::map<std::string, std::size_t>{{"large", 8}});
     }
 
+    // Three trainers name a version within a second, and loads for all three next steps take four
+    // seconds: without an order each of them starts its step with a third of the engines.
+    SECTION(
+        "the trainer whose oldest step was submitted first gets its next step's engines first") {
+      schedule.set_steps(
+          {{"large", {120, wall_time(seconds(104))}}, {"small", {24, wall_time(seconds(100))}}});
+      give("large", 0, 40, 5);
+      give("small", 0, 4, 5);
+      schedule.announce("small", 6, start);
+      schedule.announce("large", 6, start);
+      CHECK(models_of(schedule.decide(engines, start)) ==
+            std::map<std::string, std::size_t>{{"large", 4}, {"small", 4}});
+      SECTION("and the other one once that step has what it needs, so that neither starves") {
+        give("small", 0, 4, 6);
+        CHECK(schedule.decide(engines, start + seconds(5)).size() == 8);
+      }
+    }
+
+    SECTION("a trainer with an open step goes before one without, which asks for nothing yet") {
+      schedule.set_steps({{"large", {120}}, {"small", {120, wall_time(seconds(100))}}});
+      schedule.announce("small", 6, start);
+      schedule.announce("large", 5, start);
+      const auto orders = schedule.decide(engines, start);
+      CHECK(models_of(orders) == std::map<std::string, std::size_t>{{"small", 8}});
+      CHECK(orders.front().purpose == load_purpose::next_step);
+    }
+
+    SECTION("a step that runs already goes before the next step of any other trainer") {
+      schedule.set_steps(
+          {{"large", {120, wall_time(seconds(104))}}, {"small", {24, wall_time(seconds(100))}}});
+      give("small", 0, 4, 5);
+      schedule.announce("small", 6, start);
+      schedule.announce("large", 6, start);
+      CHECK(models_of(schedule.decide(engines, start)).at("large") == 8);
+    }
+
     SECTION("half of the loads stay free once all steps have what they need") {
       give("large", 0, 20, 6);
       give("small", 0, 4, 6);
@@ -225,7 +261,7 @@
     }
 
     SECTION("a single model without a known step loads as before") {
-      schedule.set_step_sizes({});
+      schedule.set_steps({});
       schedule.announce("large", 6, start);
       CHECK(schedule.decide(engines, start).size() == 8);
     }
