Evacuate data centres, and keep the rate of endpoints that may be cold

Several steps begin items at the same engines at once, each instance at the free slots that it sees.

An evacuated data centre is one more reason why its endpoints count as draining, so all choices follow it: requests, retries, items, reward calls, moves, loads of weights and orders of capacity. All entries of operators are read in one watch, which every instance follows. Endpoints of services with cold_per_s need permits at all times, from the member that keeps the account for endpoints that state a limit. A keeper that has just become the first one grants 3/8 of the rate for 1.5 s. Waiting items start when permits arrive. Both changes are one commit, because they share service_endpoints and serving_process.

--- a/libs/dispatch/permit_keeper.cpp
+++ b/libs/dispatch/permit_keeper.cpp
@@ -7,9 +7,8 @@
 
 namespace {
 
-/// Permits that a budget saves up while nobody asks.
-constexpr double max_saved_permits = 2;
-/// Permits of a new budget.
+/// Permits of a new budget, and the most that a substitute saves up for an endpoint that may be
+/// cold.
 constexpr double initial_permits = 1;
 /// Lowest rate, in requests a second, so that the end of a limit of zero is noticed.
 constexpr double min_rate = 0.25;
@@ -34,20 +33,23 @@
   return *rank == 0 ? 1 : substitute_share * std::pow(share_ratio, static_cast<double>(*rank) - 1);
 }
 
-permit_grant permit_keeper::grant(const permit_request& request, double share, time_point now) {
+permit_grant permit_keeper::grant(const permit_request& request, double share, time_point now,
+                                  bool settled) {
+  const double max_saved =
+      request.warm_up && share < 1 ? initial_permits : std::max(request.burst, initial_permits);
   // What an earlier keeper granted just before is not known.
-  const auto [position, added] =
-      budgets_.try_emplace(request.endpoint, budget{.per_second = request.per_second,
-                                                    .stated_at = {},
-                                                    .available = initial_permits,
-                                                    .updated_at = now});
+  const auto [position, added] = budgets_.try_emplace(
+      request.endpoint, budget{.per_second = request.per_second,
+                               .stated_at = {},
+                               .available = settled ? max_saved : initial_permits,
+                               .updated_at = now});
   budget& it = position->second;
   if (const time_point stated_at = now - request.age; added || stated_at >= it.stated_at) {
     it.per_second = request.per_second;
     it.stated_at = stated_at;
   }
   const double rate = std::max(it.per_second * share, min_rate);
-  it.available = std::min(max_saved_permits, it.available + rate * to_seconds(now - it.updated_at));
+  it.available = std::min(max_saved, it.available + rate * to_seconds(now - it.updated_at));
   it.updated_at = now;
   const int granted = std::clamp(static_cast<int>(it.available), 0, std::max(request.count, 0));
   it.available -= granted;
--- a/libs/dispatch/permit_keeper.h
+++ b/libs/dispatch/permit_keeper.h
@@ -19,6 +19,10 @@
   double per_second = 0;
   /// Time since a response to the requester stated the limit.
   duration age{};
+  /// Permits that may be saved up while nobody asks.
+  double burst = 2;
+  /// Whether the endpoint may be cold at any moment, so that its budget holds for each second.
+  bool warm_up = false;
 };
 
 struct permit_grant {
@@ -39,8 +43,10 @@
 /// shares, so that all together stay within one and a half times the limit.
 class permit_keeper {
 public:
-  /// Grants permits from `share` of the endpoint's limit.
-  permit_grant grant(const permit_request& request, double share, time_point now);
+  /// Grants permits from `share` of the endpoint's limit. `settled` says that no other instance has
+  /// granted any lately, so a new budget starts with all permits that it can save up.
+  permit_grant grant(const permit_request& request, double share, time_point now,
+                     bool settled = false);
   /// Forgets the budgets that were not asked for lately.
   void expire(time_point now);
   [[nodiscard]] std::size_t size() const { return budgets_.size(); }
--- a/libs/dispatch/service_configuration.h
+++ b/libs/dispatch/service_configuration.h
@@ -66,6 +66,9 @@
   /// Names of the models that the service hosts; empty if it hosts none.
   std::vector<std::string> models;
   std::optional<scaling_bounds> scaling;
+  /// Requests a second that one endpoint takes from all instances together while it is cold; 0 if
+  /// its endpoints are never cold.
+  double warm_up_rate = 0;
 };
 
 struct workspace {
--- a/libs/dispatch/service_endpoints.cpp
+++ b/libs/dispatch/service_endpoints.cpp
@@ -70,7 +70,8 @@
     }
     ++compared_;
     const double cost = owner_.selection_cost(it, requirements_, now_);
-    if (lacks_permit(it, now_)) {
+    const bool needs_permit = !requirements_.is_estimate || (it.limit && it.limit->stated());
+    if (needs_permit && lacks_permit(it, now_)) {
       if (it.limit->may_request(now_)) {
         const double wanted = it.limit->wanted();
         lacking_.emplace_back(cost + wanted / it.entry.description.max_running, &it);
@@ -151,9 +152,11 @@
   }
   health_.add(id, entry.description.data_centre, entry.description.pool);
   it.entry = entry;
-  if (is_leaving(entry)) {
-    it.entry.description.state = routing::endpoint_state::draining;
-  }
+  it.registered_state = entry.description.state;
+  it.misdirected = false;
+  it.entry.description.state =
+      is_draining(it) ? routing::endpoint_state::draining : it.registered_state;
+  update_warm_up(it);
   it.rank = hash64(id, seed_);
   add_to_service(it);
   if (last_software_.size() >= tracked_.size() + max_former_endpoints) {
@@ -338,7 +341,12 @@
         it != nullptr && it->limit && it->limit->wanted() > 0) {
       endpoint_permits& limit = *it->limit;
       const int count = limit.take_wanted();
-      list.push_back({std::move(id), count, limit.per_second(), now - limit.stated_at()});
+      list.push_back({.endpoint = std::move(id),
+                      .count = count,
+                      .per_second = limit.per_second(),
+                      .age = limit.stated() ? now - limit.stated_at() : duration::zero(),
+                      .burst = limit.burst(),
+                      .warm_up = limit.has_warm_up()});
     }
   }
   return list;
@@ -459,21 +467,53 @@
     return limit_change::none;
   }
   if (per_second) {
-    if (it->limit) {
-      it->limit->state(*per_second, now);
-      return limit_change::none;
-    }
-    it->limit.emplace(*per_second, now);
-    ++limited_count_;
-    return limit_change::started;
+    endpoint_permits& limit = limit_of(*it);
+    const bool is_new = !limit.stated();
+    limit.state(*per_second, now);
+    return is_new ? limit_change::started : limit_change::none;
   }
-  if (!it->limit || sent_at < it->limit->stated_at()) {
+  if (!it->limit || !it->limit->stated() || sent_at < it->limit->stated_at()) {
     return limit_change::none;
   }
-  end_limit(*it);
+  it->limit->end_statement();
+  end_limit_if_unlimited(*it);
   return limit_change::ended;
 }
 
+endpoint_permits& service_endpoints::limit_of(tracked_endpoint& it) {
+  if (!it.limit) {
+    it.limit.emplace();
+    ++limited_count_;
+  }
+  return *it.limit;
+}
+
+void service_endpoints::update_warm_up(tracked_endpoint& it) {
+  const auto budget = warm_up_.find(it.entry.description.pool);
+  if (budget != warm_up_.end()) {
+    limit_of(it).set_warm_up(budget->second);
+  } else if (it.limit) {
+    it.limit->set_warm_up(std::nullopt);
+    end_limit_if_unlimited(it);
+  }
+}
+
+void service_endpoints::set_warm_up(std::map<std::string, warm_up_budget, std::less<>> by_service) {
+  if (by_service == warm_up_) {
+    return;
+  }
+  warm_up_ = std::move(by_service);
+  for (auto& [id, it] : tracked_) {
+    update_warm_up(it);
+  }
+}
+
+void service_endpoints::end_limit_if_unlimited(tracked_endpoint& it) {
+  if (it.limit && !it.limit->is_limited()) {
+    end_limit(it);
+  }
+}
+
 void service_endpoints::end_limit(tracked_endpoint& it) {
   if (it.limit) {
     it.limit.reset();
@@ -483,7 +523,7 @@
 
 std::optional<double> service_endpoints::request_limit(std::string_view id) const {
   const tracked_endpoint* it = find_tracked(id);
-  return it == nullptr || !it->limit ? std::nullopt : std::optional(it->limit->per_second());
+  return it == nullptr || !it->limit ? std::nullopt : it->limit->stated();
 }
 
 bool service_endpoints::is_leaving(const endpoint_entry& entry) const {
@@ -501,15 +541,49 @@
     std::erase_if(leaving_, [this](const auto& one) { return find_tracked(one.first) == nullptr; });
   }
   leaving_[process.endpoint] = process.start_ms;
-  it->entry.description.state = routing::endpoint_state::draining;
-  update_available(*it);
+  update_state(*it);
+  return true;
+}
+
+bool service_endpoints::is_draining(const tracked_endpoint& it) const {
+  return it.misdirected || is_leaving(it.entry) || is_evacuated(it.entry.description.data_centre);
+}
+
+void service_endpoints::update_state(tracked_endpoint& it) {
+  it.entry.description.state =
+      is_draining(it) ? routing::endpoint_state::draining : it.registered_state;
+  update_available(it);
+}
+
+bool service_endpoints::set_evacuated(std::string_view data_centre, bool evacuated) {
+  if (is_evacuated(data_centre) == evacuated) {
+    return false;
+  }
+  if (evacuated) {
+    evacuated_.emplace(data_centre);
+  } else {
+    evacuated_.erase(evacuated_.find(data_centre));
+  }
+  for (auto& [id, it] : tracked_) {
+    if (it.entry.description.data_centre == data_centre) {
+      update_state(it);
+    }
+  }
   return true;
 }
 
+int service_endpoints::open_requests_in(std::string_view data_centre) const {
+  int n = 0;
+  for (const auto& [id, it] : tracked_) {
+    n += it.entry.description.data_centre == data_centre ? it.load.own_open_requests() : 0;
+  }
+  return n;
+}
+
 void service_endpoints::note_misdirected(std::string_view id) {
   if (tracked_endpoint* it = find_tracked(id)) {
-    it->entry.description.state = routing::endpoint_state::draining;
-    update_available(*it);
+    it->misdirected = true;
+    update_state(*it);
   }
 }
 
--- a/libs/dispatch/service_endpoints.h
+++ b/libs/dispatch/service_endpoints.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -59,6 +60,8 @@
   bool long_running = false;
   /// Number of requests that the caller would send now, this one included.
   int waiting_requests = 1;
+  /// Nothing is sent to the chosen endpoint now, so no permit is needed because it may be cold.
+  bool is_estimate = false;
 };
 
 /// Whether a response started or ended the limit of an endpoint's requests.
@@ -83,8 +86,9 @@
 /// open there. An instance with little traffic so keeps its connections to few endpoints, and a
 /// service with up to `max_candidates` endpoints is compared as a whole.
 ///
-/// An endpoint that states a limit of its requests is chosen only with a permit for one of them.
-/// `choose` notes which permits are missing; their owner requests them and adds them.
+/// An endpoint that states a limit of its requests, or may be cold at any moment, is chosen only
+/// with a permit for one of them. `choose` notes which permits are missing; their owner requests
+/// them and adds them.
 class service_endpoints {
 public:
   /// Number of suitable endpoints that one choice compares.
@@ -114,13 +118,16 @@
   [[nodiscard]] std::optional<chosen_endpoint> choose(const endpoint_requirements& requirements,
                                                       time_point now, random_engine& random);
 
+  /// Sets the budgets of the services whose endpoints may be cold at any moment.
+  void set_warm_up(std::map<std::string, warm_up_budget, std::less<>> by_service);
+
   /// Emitted when `choose` lacked a permit that can be requested.
   sigc::signal<void()> permits_wanted;
   /// Returns the requests for the permits that are wanted, and notes that they are sent.
   [[nodiscard]] std::vector<permit_request> take_permit_requests(time_point now);
   /// Adds the permits that were granted upon a request.
   void add_permits(std::string_view id, const permit_grant& grant, time_point now);
-  /// Whether an endpoint states a limit of its requests.
+  /// Whether requests to any endpoint need permits.
   [[nodiscard]] bool has_limits() const { return limited_count_ > 0; }
   /// Returns the earliest time at which a permit for an endpoint that meets the requirements can
   /// arrive; nothing if no endpoint is unavailable for lack of a permit alone.
@@ -153,6 +160,14 @@
   /// Records that another process answers at the endpoint's address. The endpoint gets no requests
   /// until its entry changes.
   void note_misdirected(std::string_view id);
+  /// Sets whether a data centre is evacuated: its endpoints, also those that appear meanwhile, then
+  /// count as draining. Returns whether this is a change.
+  bool set_evacuated(std::string_view data_centre, bool evacuated);
+  [[nodiscard]] bool is_evacuated(std::string_view data_centre) const {
+    return evacuated_.contains(data_centre);
+  }
+  /// Returns the number of requests that this instance has open at endpoints of a data centre.
+  [[nodiscard]] int open_requests_in(std::string_view data_centre) const;
   void note_version(std::string_view id, std::string_view model, std::uint64_t version);
   /// Updates the health states that depend on time.
   void tick(time_point now);
@@ -174,7 +189,12 @@
 
 private:
   struct tracked_endpoint {
+    /// Its state is `draining` if anything keeps the endpoint from getting requests.
     endpoint_entry entry;
+    /// The state that the registry's entry names.
+    routing::endpoint_state registered_state = routing::endpoint_state::ready;
+    /// Whether another process answers at the address.
+    bool misdirected = false;
     routing::endpoint_load load;
     routing::health_state health = routing::health_state::healthy;
     /// Smoothed time between stream events, in seconds; 0 while unknown.
@@ -203,15 +223,24 @@
   [[nodiscard]] const tracked_endpoint* find_tracked(std::string_view id) const;
   /// Whether the process of an entry states that it leaves.
   [[nodiscard]] bool is_leaving(const endpoint_entry& entry) const;
+  /// Whether anything keeps the endpoint from getting requests.
+  [[nodiscard]] bool is_draining(const tracked_endpoint& it) const;
+  void update_state(tracked_endpoint& it);
   void add_to_service(tracked_endpoint& it);
   void remove_from_service(tracked_endpoint& it);
   void update_available(tracked_endpoint& it);
   [[nodiscard]] static bool lacks_permit(const tracked_endpoint& it, time_point now) {
     return it.limit && !it.limit->has_permit(now);
   }
+  /// Makes the budget of the endpoint's service count for it.
+  void update_warm_up(tracked_endpoint& it);
+  /// Returns the endpoint's limit, which it creates if there is none.
+  endpoint_permits& limit_of(tracked_endpoint& it);
   [[nodiscard]] static bool is_suitable(const tracked_endpoint& it,
                                         const endpoint_requirements& requirements, time_point now);
   void end_limit(tracked_endpoint& it);
+  /// Ends the limit if nothing limits the requests any more.
+  void end_limit_if_unlimited(tracked_endpoint& it);
   /// Notes that permits are wanted for the endpoints that `compared` lacked one for.
   void want_permits(const selection& compared);
   void update_health(time_point now);
@@ -235,6 +264,8 @@
   std::map<std::string, std::int64_t, std::less<>> leaving_;
   /// Software of the last entry by endpoint id.
   std::map<std::string, std::string, std::less<>> last_software_;
+  std::set<std::string, std::less<>> evacuated_;
+  std::map<std::string, warm_up_budget, std::less<>> warm_up_;
   std::size_t limited_count_ = 0;
   /// Ids of the endpoints for which permits are wanted and not yet requested.
   std::vector<std::string> wanted_permits_;
--- a/libs/duties/member_table.cpp
+++ b/libs/duties/member_table.cpp
@@ -134,7 +134,7 @@
   return oldest_of(watchers);
 }
 
-std::vector<const member*> member_table::candidates_for(std::string_view work_id) const {
+std::vector<const member*> member_table::candidates() const {
   auto list = active();
   double max_processor = 0;
   for (const member* it : list) {
@@ -143,6 +143,11 @@
   std::erase_if(list, [max_processor](const member* it) {
     return it->processor < min_processor_share * max_processor;
   });
+  return list;
+}
+
+std::vector<const member*> member_table::candidates_for(std::string_view work_id) const {
+  auto list = candidates();
   std::sort(list.begin(), list.end(), [work_id](const member* left, const member* right) {
     return rendezvous_weight(work_id, left->id) > rendezvous_weight(work_id, right->id);
   });
--- a/libs/duties/member_table.h
+++ b/libs/duties/member_table.h
@@ -80,6 +80,9 @@
   /// It is never a draining member, and is one of those with the most processor time, because a
   /// step of 128 texts needs more than a small instance has.
   [[nodiscard]] const member* assigned_member(std::string_view work_id) const;
+  /// The members that work is assigned to: those with the most processor time, without the ones
+  /// that drain.
+  [[nodiscard]] std::vector<const member*> candidates() const;
   /// The members that `assigned_member` chooses from, in the order of preference: each is chosen
   /// when those before it are gone.
   [[nodiscard]] std::vector<const member*> candidates_for(std::string_view work_id) const;
--- a/libs/events/catalogue.h
+++ b/libs/events/catalogue.h
@@ -68,6 +68,9 @@
   endpoints_reachable = 1511,
   crash_checked = 1512,
   crash_not_recorded = 1513,
+  evacuation_started = 1514,
+  evacuation_complete = 1515,
+  evacuation_ended = 1516,
 
   step_opened = 1601,
   batch_committed = 1602,
--- a/libs/instance/configuration_task.h
+++ b/libs/instance/configuration_task.h
@@ -25,15 +25,20 @@
   std::string instance;
 };
 
+/// A request to send nothing to the endpoints of a data centre, as long as its entry exists.
+struct evacuation_request {
+  std::string data_centre;
+};
+
 /// An operator entry that this process does not recognize or cannot parse.
 struct ignored_entry {
   std::string reason;
 };
 
-using operator_entry =
-    std::variant<dispatch::service_configuration, named_version, retire_request, ignored_entry>;
+using operator_entry = std::variant<dispatch::service_configuration, named_version, retire_request,
+                                    evacuation_request, ignored_entry>;
 
-/// Decodes an operator entry.
+/// Decodes an operator entry. The value of a removed entry is empty.
 using operator_decoder =
     std::function<operator_entry(std::string_view key, std::string_view value)>;
 
@@ -44,15 +49,17 @@
   configuration_task(instance_context& context, const std::string& prefix, operator_decoder decode);
 
   void start() { watch_.start(); }
-  [[nodiscard]] bool is_started() const { return watch_.is_started(); }
 
   /// Emitted after a newer configuration took effect.
   sigc::signal<void()> applied;
   sigc::signal<void(const named_version&)> version_named;
   sigc::signal<void(const retire_request&)> retire_requested;
+  /// Emitted when the entry of an evacuation was written, and when it is gone.
+  sigc::signal<void(const evacuation_request&, bool in_force)> evacuation_changed;
 
 private:
   void apply_entry(const stored_item& it);
+  void apply_removal(const std::string& key);
   void apply(dispatch::service_configuration next);
 
   instance_context& context_;
--- a/libs/instance/endpoint_verifier.cpp
+++ b/libs/instance/endpoint_verifier.cpp
@@ -30,7 +30,7 @@
 void endpoint_verifier::verify(const expected_process& expected,
                                std::function<void(process_verdict)> done) {
   const dispatch::endpoint_entry* entry = context_.endpoints.find(expected.process.endpoint);
-  if (entry == nullptr) {
+  if (entry == nullptr || context_.endpoints.is_evacuated(entry->description.data_centre)) {
     read_entry(expected, std::nullopt, std::move(done));
     return;
   }
--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -205,7 +205,7 @@
                                                .waiting_requests =
                                                    waiting_requests(&jobs::job_run::waiting)};
   auto chosen = context_.endpoints.choose(requirements, context_.loop.now(), context_.random);
-  if (!chosen) {
+  if (!chosen && !requirements.excluded.empty()) {
     requirements.excluded = {};
     chosen = context_.endpoints.choose(requirements, context_.loop.now(), context_.random);
   }
@@ -493,7 +493,8 @@
                                     .software = run_.software(n),
                                     .excluded = excluded,
                                     .requires_free_slot = true,
-                                    .long_running = true},
+                                    .long_running = true,
+                                    .is_estimate = true},
                                    now, context_.random);
 }
 
--- a/libs/instance/job_runner.h
+++ b/libs/instance/job_runner.h
@@ -33,6 +33,12 @@
   /// Starts items and reward calls, moves slow runs and writes due results. To be called
   /// periodically; cheap if there is nothing to do.
   void advance(time_point now);
+  /// Starts the items and reward calls that may be sent now.
+  void start_waiting(time_point now) {
+    if (!stopped_) {
+      start_ready(now);
+    }
+  }
   /// Cancels all runs and reward calls.
   void stop();
   /// Partial texts, for the member that continues the job.
--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -492,9 +492,7 @@
   }
 }
 
-void job_service::advance_runners() {
-  const time_point now = context_.loop.now();
-  // Jobs that are due first get the free slots first.
+std::vector<job_runner*> job_service::runners_by_due() const {
   std::vector<job_runner*> order;
   for (const auto& [job, it] : runners_) {
     order.push_back(it.get());
@@ -502,7 +500,19 @@
   std::stable_sort(order.begin(), order.end(), [](const job_runner* a, const job_runner* b) {
     return a->contents().due < b->contents().due;
   });
-  for (job_runner* it : order) {
+  return order;
+}
+
+void job_service::start_waiting() {
+  const time_point now = context_.loop.now();
+  for (job_runner* it : runners_by_due()) {
+    it->start_waiting(now);
+  }
+}
+
+void job_service::advance_runners() {
+  const time_point now = context_.loop.now();
+  for (job_runner* it : runners_by_due()) {
     it->advance(now);
   }
   std::erase_if(runners_, [this](const auto& it) {
--- a/libs/instance/job_service.h
+++ b/libs/instance/job_service.h
@@ -56,6 +56,10 @@
   /// Handles a request of another instance. Returns false if it is not a request about jobs.
   bool answer(const std::shared_ptr<http1::exchange>& from) { return peer_.answer(from); }
 
+  /// Starts items and reward calls that may be sent now, those of the jobs that are due first
+  /// before the others.
+  void start_waiting();
+
   /// Number of items in the jobs of all instances that have not ended and were submitted recently
   /// enough to count as demand.
   [[nodiscard]] int open_items() const;
@@ -105,7 +109,8 @@
   void load_and_run(const std::string& job);
   /// Stops the job's runner if the job has ended or another member runs it.
   void on_record_changed(const std::string& job);
-  /// Advances all runners, those of the jobs that are due first before the others.
+  /// The runners of the jobs that are due first come first.
+  [[nodiscard]] std::vector<job_runner*> runners_by_due() const;
   void advance_runners();
   /// Loads this member's jobs that have no runner, and takes over those of members that are gone.
   void take_over_jobs();
--- a/libs/instance/permit_task.cpp
+++ b/libs/instance/permit_task.cpp
@@ -29,10 +29,8 @@
 constexpr int bad_request = 400;
 
 json to_message(const dispatch::permit_request& it) {
-  return {{"endpoint", it.endpoint},
-          {"count", it.count},
-          {"per_second", it.per_second},
-          {"age_us", it.age.count()}};
+  return {{"endpoint", it.endpoint},  {"count", it.count}, {"per_second", it.per_second},
+          {"age_us", it.age.count()}, {"burst", it.burst}, {"warm_up", it.warm_up}};
 }
 
 std::optional<dispatch::permit_request> request_from_message(const json& from) {
@@ -46,6 +44,9 @@
   it.count = static_cast<int>(*count);
   it.per_second = *rate;
   it.age = duration(*age);
+  // Instances of earlier versions know only limits that endpoints state.
+  it.burst = number_field(from, "burst").value_or(it.burst);
+  it.warm_up = bool_field(from, "warm_up").value_or(it.warm_up);
   return it;
 }
 
@@ -71,7 +72,7 @@
 
 permit_task::permit_task(instance_context& context, member_task& members)
     : context_(context), members_(members), calls_(context.loop, context.budget),
-      expiry_timer_(context.loop, [this] { expire(); }) {
+      changes_(context.identity.member_id()), expiry_timer_(context.loop, [this] { expire(); }) {
   context_.endpoints.permits_wanted.connect([this] {
     if (std::exchange(scheduled_, true)) {
       return;
@@ -84,9 +85,18 @@
       }
     });
   });
+  members_.changed.connect([this] { note_members(); });
   expiry_timer_.start_periodic(expiry_interval);
 }
 
+void permit_task::note_members() {
+  std::vector<std::string> ids;
+  for (const duties::member* it : members_.members().candidates()) {
+    ids.push_back(it->id);
+  }
+  changes_.update(ids, context_.loop.now());
+}
+
 const duties::member* permit_task::keeper_of(const std::string& endpoint, time_point now) const {
   for (const duties::member* it : members_.members().candidates_for(endpoint)) {
     const auto silent = silent_until_.find(it->id);
@@ -182,11 +192,17 @@
 }
 
 dispatch::permit_grant permit_task::grant(const dispatch::permit_request& request, time_point now) {
+  std::optional<std::size_t> rank = rank_for(request.endpoint, now);
+  const bool settled = rank == 0 && changes_.is_settled(request.endpoint, now);
+  if (request.warm_up && rank == 0 && !settled) {
+    // Others may still ask the former keeper.
+    rank = 1;
+  }
   const dispatch::permit_grant it =
-      keeper_.grant(request, dispatch::permit_share(rank_for(request.endpoint, now)), now);
+      keeper_.grant(request, dispatch::permit_share(rank), now, request.warm_up && settled);
   context_.metrics
       .get_counter("boragedoor_permits_granted_total",
-                   "requests granted for endpoints that state a limit")
+                   "requests granted for endpoints that state a limit or may be cold")
       .add(it.count);
   return it;
 }
--- a/libs/instance/permit_task.h
+++ b/libs/instance/permit_task.h
@@ -9,6 +9,7 @@
 
 #include <sigc++/signal.h>
 
+#include "dispatch/keeper_changes.h"
 #include "dispatch/permit_keeper.h"
 #include "http1/client.h"
 #include "http1/exchange.h"
@@ -17,8 +18,8 @@
 
 namespace boragedoor::instance {
 
-/// Gets the permits for endpoints that state a limit of their requests from the instances that keep
-/// the budgets of these endpoints, and grants permits for those whose budgets this instance keeps.
+/// Gets the permits for endpoints whose requests are limited from the instances that keep the
+/// budgets of these endpoints, and grants permits for those whose budgets this instance keeps.
 class permit_task {
 public:
   permit_task(instance_context& context, member_task& members);
@@ -48,12 +49,14 @@
   [[nodiscard]] std::optional<std::size_t> rank_for(const std::string& endpoint,
                                                     time_point now) const;
   dispatch::permit_grant grant(const dispatch::permit_request& request, time_point now);
+  void note_members();
   void expire();
 
   instance_context& context_;
   member_task& members_;
   http1::client calls_;
   dispatch::permit_keeper keeper_;
+  dispatch::keeper_changes changes_;
   /// Members that did not respond lately, with the time until which others are asked.
   std::map<std::string, time_point, std::less<>> silent_until_;
   net::timer expiry_timer_;
--- a/libs/instance/replica_task.cpp
+++ b/libs/instance/replica_task.cpp
@@ -49,7 +49,12 @@
       ready_counts[entry.description.data_centre] +=
           entry.description.state == routing::endpoint_state::ready ? 1 : 0;
     });
-    bounds.present = ready_counts;
+    for (const auto& [name, ready_count] : ready_counts) {
+      // Nothing is ordered for an evacuated data centre. The others get its share.
+      if (!context_.endpoints.is_evacuated(name)) {
+        bounds.present.emplace(name, ready_count);
+      }
+    }
     if (!bounds.present.empty()) {
       found.push_back(std::move(bounds));
     }
--- a/libs/instance/weight_task.cpp
+++ b/libs/instance/weight_task.cpp
@@ -62,6 +62,10 @@
     record_failure(order, entry == nullptr ? "gone" : "no_effect");
     return;
   }
+  if (context_.endpoints.is_evacuated(entry->description.data_centre)) {
+    record_failure(order, "evacuated");
+    return;
+  }
   context_.outgoing.request_report(
       *entry, call_timeout,
       [this, order, order_sent, deadline,
--- a/tests/dispatch/request_limit_test.cpp
+++ b/tests/dispatch/request_limit_test.cpp
@@ -3,13 +3,15 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
-#include "base/hash.h"
+#include "base/member.h"
+#include "dispatch/keeper_changes.h"
 #include "dispatch/permit_keeper.h"
 #include "dispatch/service_endpoints.h"
 
@@ -35,13 +37,13 @@
   return it;
 }
 
-/// Highest number of requests in any window.
-std::size_t most_in_window(std::vector<time_point> arrivals) {
+/// Highest number of requests in any time of this length.
+std::size_t most_within(duration length, std::vector<time_point> arrivals) {
   std::sort(arrivals.begin(), arrivals.end());
   std::size_t most = 0;
   std::size_t first = 0;
   for (std::size_t n = 0; n < arrivals.size(); ++n) {
-    while (arrivals[n] - arrivals[first] > window) {
+    while (arrivals[n] - arrivals[first] > length) {
       ++first;
     }
     most = std::max(most, n - first + 1);
@@ -53,17 +55,25 @@
 /// take time. Instances die and come back without memory; the others notice one after the other.
 class simulation {
 public:
-  simulation(std::uint64_t seed, std::size_t instances, std::map<std::string, double> limits)
-      : random_(seed), limits_(std::move(limits)) {
+  /// The limits by endpoint; those of 0 are not stated. With `cold_bound`, each endpoint may be
+  /// cold at any moment and then takes that many requests in a second.
+  simulation(std::uint64_t seed, std::size_t instances, std::map<std::string, double> limits,
+             std::optional<double> cold_bound = std::nullopt)
+      : random_(seed), limits_(std::move(limits)), cold_bound_(cold_bound) {
     for (std::size_t n = 0; n < instances; ++n) {
-      instances_.emplace_back();
+      instances_.emplace_back(name_of(n));
+      instances_[n].sees.assign(instances, true);
       restart(n);
-      for (std::size_t other = 0; other < instances; ++other) {
-        instances_[n].sees.push_back(true);
-      }
     }
   }
 
+  /// Time for which a request waits for a permit.
+  void set_max_wait(duration limit) { max_wait_ = limit; }
+  /// Makes an instance begin with a number of requests at once, for example those of a step.
+  void add_step(std::size_t n, std::size_t requests) {
+    instances_[n].waiting.insert(instances_[n].waiting.end(), requests, now_);
+  }
+
   void run(duration length, double requests_per_second_each, bool deaths) {
     const time_point end = start + length;
     for (; now_ < end; now_ += milliseconds(1)) {
@@ -82,7 +92,7 @@
         if (std::bernoulli_distribution(requests_per_second_each / 1000)(random_)) {
           it.waiting.push_back(now_);
         }
-        while (!it.waiting.empty() && now_ - it.waiting.front() > max_wait) {
+        while (!it.waiting.empty() && now_ - it.waiting.front() > max_wait_) {
           it.waiting.pop_front();
           ++refused_;
         }
@@ -101,14 +111,16 @@
   [[nodiscard]] std::size_t refused() const { return refused_; }
 
 private:
-  static constexpr duration max_wait = milliseconds(40);
   static constexpr duration answer_timeout = milliseconds(300);
   static constexpr duration silence_period = seconds(1);
   static constexpr duration lease_time = seconds(3);
 
   struct instance {
+    explicit instance(std::string name) : changes(std::move(name)) {}
+
     std::unique_ptr<service_endpoints> endpoints;
     permit_keeper keeper;
+    keeper_changes changes;
     std::map<std::size_t, time_point> silent_until;
     /// Whether it sees each of the others in its list of members.
     std::vector<bool> sees;
@@ -118,6 +130,20 @@
     bool alive = true;
   };
 
+  static std::string name_of(std::size_t n) { return fmt::format("instance-{}", n); }
+  void set_seen(std::size_t n, std::size_t other, bool seen) {
+    instances_[n].sees[other] = seen;
+    update_members(n);
+  }
+  void update_members(std::size_t n) {
+    std::vector<std::string> names;
+    for (std::size_t other = 0; other < instances_.size(); ++other) {
+      if (instances_[n].sees[other]) {
+        names.push_back(name_of(other));
+      }
+    }
+    instances_[n].changes.update(names, now_);
+  }
   duration delay() { return milliseconds(std::uniform_int_distribution<int>(1, 15)(random_)); }
   void after(duration wait, std::function<void()> action) {
     actions_.emplace(now_ + wait, std::move(action));
@@ -125,9 +151,14 @@
 
   void restart(std::size_t n) {
     instance& it = instances_[n];
-    it.endpoints = std::make_unique<service_endpoints>(
-        service_endpoints::create("dc-1", fmt::format("instance-{}", n)).value());
+    it.endpoints =
+        std::make_unique<service_endpoints>(service_endpoints::create("dc-1", name_of(n)).value());
+    if (cold_bound_) {
+      it.endpoints->set_warm_up({{"desk", warm_up_budget::for_bound(*cold_bound_)}});
+    }
     it.keeper = {};
+    it.changes = keeper_changes(name_of(n));
+    update_members(n);
     it.silent_until.clear();
     it.waiting.clear();
     it.alive = true;
@@ -145,12 +176,12 @@
     const int life = instances_[n].life;
     for (std::size_t other = 0; other < instances_.size(); ++other) {
       after(lease_time + 20 * delay(),
-            [this, other, n, life] { instances_[other].sees[n] = instances_[n].life != life; });
+            [this, other, n, life] { set_seen(other, n, instances_[n].life != life); });
     }
     after(lease_time / 2, [this, n] {
       restart(n);
       for (std::size_t other = 0; other < instances_.size(); ++other) {
-        after(20 * delay(), [this, other, n] { instances_[other].sees[n] = true; });
+        after(20 * delay(), [this, other, n] { set_seen(other, n, true); });
       }
     });
   }
@@ -161,8 +192,8 @@
     if (!chosen) {
       return false;
     }
-    // The users count the requests of instances that know the limit.
-    if (it.endpoints->request_limit(chosen->id)) {
+    // The users count the requests of instances that know the limit, and all at a cold endpoint.
+    if (cold_bound_ || it.endpoints->request_limit(chosen->id)) {
       arrivals_[chosen->id].push_back(now_ + delay());
     }
     it.endpoints->note_sent(chosen->id, now_);
@@ -170,7 +201,9 @@
       instance& sender = instances_[n];
       if (sender.alive && sender.life == life) {
         sender.endpoints->note_finished(id, routing::health_signal::success, now_);
-        sender.endpoints->note_limit(id, limits_.at(id), sent_at, now_);
+        const double limit = limits_.at(id);
+        sender.endpoints->note_limit(id, limit > 0 ? std::optional(limit) : std::nullopt, sent_at,
+                                     now_);
         ++sender.served;
       }
     });
@@ -186,7 +219,8 @@
       }
     }
     std::sort(list.begin(), list.end(), [&](std::size_t left, std::size_t right) {
-      return hash64(endpoint, left) < hash64(endpoint, right);
+      return rendezvous_weight(endpoint, name_of(left)) >
+             rendezvous_weight(endpoint, name_of(right));
     });
     return list;
   }
@@ -218,15 +252,21 @@
         return;
       }
       const auto list = candidates(keeper, request.endpoint);
-      const auto rank = std::find(list.begin(), list.end(), keeper) - list.begin();
-      const permit_grant grant = instances_[keeper].keeper.grant(
-          request, permit_share(static_cast<std::size_t>(rank)), now_);
+      auto rank =
+          static_cast<std::size_t>(std::find(list.begin(), list.end(), keeper) - list.begin());
+      const bool settled =
+          rank == 0 && instances_[keeper].changes.is_settled(request.endpoint, now_);
+      rank = std::max<std::size_t>(rank, request.warm_up && !settled ? 1 : 0);
+      const permit_grant grant = instances_[keeper].keeper.grant(request, permit_share(rank), now_,
+                                                                 request.warm_up && settled);
       after(keeper == n ? duration::zero() : delay(), [answer, grant] { answer(grant); });
     });
   }
 
   random_engine random_;
   std::map<std::string, double> limits_;
+  std::optional<double> cold_bound_;
+  duration max_wait_ = milliseconds(40);
   time_point now_ = start;
   std::vector<instance> instances_;
   std::multimap<time_point, std::function<void()>> actions_;
@@ -234,6 +274,30 @@
   std::size_t refused_ = 0;
 };
 
+/// Plays one seed in which all endpoints of a data centre return at once and steps of 100 items
+/// begin at several instances. Checks the bound in each second, and that the items are sent at half
+/// of the rate of the budgets or more.
+void check_cold_bound(std::uint64_t seed, std::size_t instances, bool deaths, double bound) {
+  CAPTURE(seed, deaths, instances, bound);
+  const std::map<std::string, double> endpoints = {{"a", 0}, {"b", 0}, {"c", 0}, {"d", 0}};
+  constexpr duration length = seconds(20);
+  simulation it(seed, instances, endpoints, bound);
+  it.set_max_wait(length);
+  constexpr std::size_t items = 400;
+  for (std::size_t n = 0; n < 4; ++n) {
+    it.add_step(n % instances, items);
+  }
+  it.run(length, 0, deaths);
+  const double rate = warm_up_budget::for_bound(bound).per_second;
+  for (const auto& [id, limit] : endpoints) {
+    CAPTURE(id);
+    CHECK(static_cast<double>(most_within(seconds(1), it.arrivals(id))) <= bound);
+    if (!deaths) {
+      CHECK(static_cast<double>(it.arrivals(id).size()) >= 0.5 * rate * 20);
+    }
+  }
+}
+
 /// Plays one seed and checks that each limit is kept and at least half of it is used.
 void check_limits(std::uint64_t seed, std::size_t instances, bool deaths) {
   const std::map<std::string, double> limits = {{"a", 1.0}, {"b", 4.0}, {"c", 7.0}, {"d", 20.0}};
@@ -244,7 +308,7 @@
   it.run(length, requests_per_second / static_cast<double>(instances), deaths);
   for (const auto& [id, limit] : limits) {
     CAPTURE(id);
-    CHECK(static_cast<double>(most_in_window(it.arrivals(id))) <= allowed_in_window(limit));
+    CHECK(static_cast<double>(most_within(window, it.arrivals(id))) <= allowed_in_window(limit));
     const double offered = limit * std::chrono::duration<double>(length).count();
     CHECK(static_cast<double>(it.arrivals(id).size()) >= 0.5 * offered);
   }
@@ -409,6 +473,110 @@
   }
 }
 
+// Pattern: a data centre returns from an evacuation, or crashed as a whole, and all its endpoints
+// are cold, while the steps of several trainers wait. Instances are killed and restarted.
+TEST_CASE("instances together send a cold endpoint no more than it bears") {
+  const bool deaths = GENERATE(false, true);
+  const std::size_t instances = GENERATE(8, 60);
+  const double bound = GENERATE(11.0, 23.0);
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    check_cold_bound(seed, instances, deaths, bound);
+  }
+}
+
+TEST_CASE("instances together keep the bound of cold endpoints over many seeds", "[.long]") {
+  const std::size_t instances = GENERATE(3, 8, 60);
+  const double bound = GENERATE(8.0, 23.0);
+  for (std::uint64_t seed = 101; seed <= 160; ++seed) {
+    check_cold_bound(seed, instances, true, bound);
+  }
+}
+
+TEST_CASE("an endpoint that may be cold at any moment") {
+  auto endpoints = service_endpoints::create("dc-1").value();
+  random_engine random(1);
+  const warm_up_budget budget = warm_up_budget::for_bound(23);
+  endpoints.put(make_endpoint("a"));
+  endpoints.set_warm_up({{"desk", budget}});
+  const auto choose = [&](time_point now, bool is_estimate = false) {
+    const auto it = endpoints.choose({.service = "desk", .is_estimate = is_estimate}, now, random);
+    return it ? it->id : std::string();
+  };
+
+  SECTION("is not chosen without a permit, whose request states the budget") {
+    CHECK(choose(start).empty());
+    const auto requests = endpoints.take_permit_requests(start);
+    REQUIRE(requests.size() == 1);
+    CHECK(requests[0].warm_up);
+    CHECK(requests[0].per_second == budget.per_second);
+    CHECK(requests[0].burst == budget.burst);
+    // It states no limit of its own.
+    CHECK_FALSE(endpoints.request_limit("a"));
+  }
+
+  SECTION("is compared without a permit if nothing is sent, and none is requested") {
+    CHECK(choose(start, true) == "a");
+    CHECK(endpoints.take_permit_requests(start).empty());
+  }
+
+  SECTION("that states a limit as well is bound by both") {
+    CHECK(endpoints.note_limit("a", 2.0, start, start) == limit_change::started);
+    CHECK(choose(start).empty());
+    CHECK(endpoints.take_permit_requests(start).at(0).per_second == 2.0);
+    CHECK(choose(start, true).empty());
+    endpoints.add_permits("a", {0, duration::zero()}, start);
+    CHECK(endpoints.note_limit("a", std::nullopt, start, start) == limit_change::ended);
+    CHECK(choose(start).empty());
+    CHECK(endpoints.take_permit_requests(start).at(0).per_second == budget.per_second);
+  }
+
+  SECTION("is used without permits once the configuration says that it is never cold") {
+    endpoints.set_warm_up({});
+    CHECK(choose(start) == "a");
+    CHECK_FALSE(endpoints.has_limits());
+  }
+
+  SECTION("has a budget from its first entry on") {
+    endpoints.put(make_endpoint("b"));
+    CHECK(choose(start).empty());
+    endpoints.remove("a");
+    endpoints.remove("b");
+    CHECK_FALSE(endpoints.has_limits());
+  }
+}
+
+TEST_CASE("a keeper is settled when no other one was first lately") {
+  const std::string self = "instance-1";
+  keeper_changes changes(self);
+  // A member that comes before this instance for one endpoint, and after it for another.
+  std::string behind;
+  std::string before;
+  for (int n = 0; behind.empty() || before.empty(); ++n) {
+    const std::string endpoint = fmt::format("endpoint-{}", n);
+    const bool is_before =
+        rendezvous_weight(endpoint, "instance-2") > rendezvous_weight(endpoint, self);
+    (is_before ? before : behind) = endpoint;
+  }
+  const std::vector<std::string> both = {"instance-1", "instance-2"};
+  const std::vector<std::string> alone = {"instance-1"};
+  CHECK_FALSE(changes.is_settled(behind, start));
+  changes.update(both, start);
+  CHECK_FALSE(changes.is_settled(behind, start + seconds(1)));
+  CHECK(changes.is_settled(behind, start + seconds(2)));
+
+  SECTION("the departure of a member unsettles only the budgets that it kept") {
+    changes.update(alone, start + seconds(10));
+    CHECK(changes.is_settled(behind, start + seconds(10)));
+    CHECK_FALSE(changes.is_settled(before, start + seconds(11)));
+    CHECK(changes.is_settled(before, start + seconds(12)));
+  }
+  SECTION("an instance that has lost its own entry starts again") {
+    changes.update({}, start + seconds(10));
+    changes.update(both, start + seconds(10));
+    CHECK_FALSE(changes.is_settled(behind, start + seconds(11)));
+  }
+}
+
 // Run by hand: dispatch_test "[long]".
 TEST_CASE("instances together keep the limits of endpoints over many seeds", "[.long]") {
   const bool deaths = GENERATE(false, true);
--- a/tests/platform/configuration_codec_test.cpp
+++ b/tests/platform/configuration_codec_test.cpp
@@ -15,7 +15,7 @@
   {"name":"r2","host":"a.example","prefix":"/q/","kind":"rollout","timeout_ms":10000,
    "target_latency_ms":500,"due_ms":7500,"max_queue_s":40,"max_attempts":3,"service":"s3",
    "single_version":true,"unknown_field":1}],
- "services":[{"name":"s3","max_conns":140,"engine":{"slots":8,"models":[{"name":"m"}]},
+ "services":[{"name":"s3","max_conns":140,"cold_start_s":3.0,"cold_per_s":12.5,"engine":{"slots":8,"models":[{"name":"m"}]},
    "scaling":{"min_replicas":1,"max_replicas":6}},{"name":"s1"}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":33554432,"header_timeout_ms":3000,
    "idle_timeout_ms":15000},
@@ -56,6 +56,8 @@
   CHECK(it->services.at(0).models == std::vector<std::string>{"m"});
   CHECK(it->services.at(0).scaling->max_endpoints == 6);
   CHECK_FALSE(it->services.at(1).scaling);
+  CHECK(it->services.at(0).warm_up_rate == 12.5);
+  CHECK(it->services.at(1).warm_up_rate == 0);
   CHECK(it->limits.idle_timeout == seconds(15));
   CHECK(it->workspaces.at(0).keys == std::vector<std::string>{"k1", "k2"});
 }
@@ -66,6 +68,11 @@
   const auto retire = read_operator_entry("op/retire/store-1", R"({"duration_s":10})");
   CHECK(std::get<instance::retire_request>(retire).instance == "store-1");
   CHECK(retired_status({"store-1"}).key == "status/retire/store-1");
+  // The key says all, so a value that cannot be read does not keep an evacuation from counting.
+  for (const std::string value : {"{}", "", "no json"}) {
+    const auto evacuation = read_operator_entry("op/evacuate/z1", value);
+    CHECK(std::get<instance::evacuation_request>(evacuation).data_centre == "z1");
+  }
 }
 
 TEST_CASE("entries that cannot be read are ignored as a whole") {
@@ -76,6 +83,7 @@
        {"op/config", R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/","kind":"new"}],
                          "services":[]})"},
        {"op/version/m", R"({"model":"m"})"},
+       {"op/evacuate/", "{}"},
        {"op/else", "{}"}}));
   CHECK(std::holds_alternative<instance::ignored_entry>(read_operator_entry(key, value)));
 }
--- a/tests/platform/node_settings_test.cpp
+++ b/tests/platform/node_settings_test.cpp
@@ -35,6 +35,16 @@
   CHECK(it.value().relay.port == 7361);
   CHECK(it.value().heartbeat == milliseconds(900));
   CHECK(it.value().lease_ttl == seconds(3));
+  CHECK(it.value().cold_overage == 1);
+  CHECK(it.value().cold_slack == 0);
+
+  json cold = make_settings();
+  cold["bounds"]["cold_overage"] = 1.5;
+  cold["bounds"]["cold_slack"] = 5;
+  const auto with_cold = parse_node_settings(to_text(cold), "local.json");
+  REQUIRE(with_cold);
+  CHECK(with_cold.value().cold_overage == 1.5);
+  CHECK(with_cold.value().cold_slack == 5);
 }
 
 TEST_CASE("all findings of a settings file are reported together") {
@@ -42,12 +52,14 @@
   settings.erase("node_name");
   settings["platform"]["address"] = "nowhere";
   settings["bounds"]["lease_ttl_ms"] = 0;
+  settings["bounds"]["cold_slack"] = -1;
   const auto it = parse_node_settings(to_text(settings), "local.json");
   REQUIRE_FALSE(it);
-  REQUIRE(it.error().size() == 3);
+  REQUIRE(it.error().size() == 4);
   CHECK(it.error()[0].key == "node_name");
   CHECK(it.error()[1].key == "platform.address");
   CHECK(it.error()[2].key == "bounds.lease_ttl_ms");
+  CHECK(it.error()[3].key == "bounds.cold_slack");
   CHECK(parse_node_settings("[]", "local.json").error().size() == 1);
   CHECK(load_node_settings("/nowhere/local.json").error().size() == 1);
 }
