--- a/tests/platform/replica_stand_in.cpp
+++ b/tests/platform/replica_stand_in.cpp
@@ -32,6 +32,7 @@
                 loop_, at, [this](const auto& exchange) { on_call(exchange); },
                 &instance::listener_refusal)
                 .value();
+  server_->set_limits({.body_bytes = options_.body_bytes});
   address_ = server_->local_address();
 }
 
--- a/tests/platform/replica_stand_in.h
+++ b/tests/platform/replica_stand_in.h
@@ -30,6 +30,8 @@
     /// Number of events in each stream and the time between them.
     int events = 3;
     duration interval = milliseconds(5);
+    /// Largest body of a request, in bytes.
+    std::size_t body_bytes = 1024UL * 1024;
   };
 
   replica_stand_in(net::event_loop& loop, store_stand_in& store, options config);
--- a/tests/platform/store_stand_in.cpp
+++ b/tests/platform/store_stand_in.cpp
@@ -64,6 +64,12 @@
   }
 }
 
+void store_stand_in::set_body_limit(std::size_t bytes) {
+  for (listener& it : listeners_) {
+    it.server->set_limits({.body_bytes = bytes});
+  }
+}
+
 int store_stand_in::calls(const std::string& name) const {
   const auto it = calls_.find(name);
   return it == calls_.end() ? 0 : it->second;
--- a/tests/platform/store_stand_in.h
+++ b/tests/platform/store_stand_in.h
@@ -47,6 +47,8 @@
 
   /// Sets the fault of the first or the second listener.
   void set_fault(store_fault fault, std::size_t listener = 0);
+  /// Sets the largest body of a call, in bytes; 4 MiB unless it is set.
+  void set_body_limit(std::size_t bytes);
   /// Discards the history, so that watches from an older revision have to list again.
   void compact() { compacted_revision_ = revision_; }
 
