--- a/libs/events/catalogue.cpp
+++ b/libs/events/catalogue.cpp
@@ -67,6 +67,8 @@
      "An exchange was ended because the process held too many bytes of messages."},
     {response_skipped, warning, "response_skipped",
      "An endpoint sent a response that is not to the request that waits for one."},
+    {connection_closed_at_limit, warning, "connection_closed_at_limit",
+     "A connection was closed because a listener has as many as it may have."},
     {endpoint_added, info, "endpoint_added", "An endpoint became available."},
     {endpoint_draining, info, "endpoint_draining",
      "An endpoint gets no new work because it is leaving."},
--- a/libs/events/catalogue.h
+++ b/libs/events/catalogue.h
@@ -54,6 +54,7 @@
   stream_not_recorded = 1410,
   exchange_ended_for_memory = 1411,
   response_skipped = 1412,
+  connection_closed_at_limit = 1413,
 
   endpoint_added = 1501,
   endpoint_draining = 1502,
--- a/libs/http1/server.cpp
+++ b/libs/http1/server.cpp
@@ -76,16 +76,37 @@
 void server::on_accept(evconnlistener* /*from*/, evutil_socket_t fd, sockaddr* peer, int /*size*/,
                        void* self) {
   auto& it = *static_cast<server*>(self);
-  constexpr int on = 1;
-  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   char host[INET_ADDRSTRLEN] = "";
   const auto& name = *reinterpret_cast<const sockaddr_in*>(peer);
   inet_ntop(AF_INET, &name.sin_addr, host, sizeof host);
-  auto connection = std::make_shared<server_connection>(
-      it.loop_, it.shared_, fd, fmt::format("{}:{}", host, ntohs(name.sin_port)));
+  std::string peer_address = fmt::format("{}:{}", host, ntohs(name.sin_port));
+  if (it.connections_.size() >= it.max_connections_ && !it.close_longest_idle()) {
+    evutil_closesocket(fd);
+    it.closed_at_limit.emit(peer_address, false);
+    return;
+  }
+  constexpr int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  auto connection =
+      std::make_shared<server_connection>(it.loop_, it.shared_, fd, std::move(peer_address));
   it.connections_.emplace(connection.get(), connection);
 }
 
+bool server::close_longest_idle() {
+  std::shared_ptr<server_connection> longest;
+  for (const auto& [key, it] : connections_) {
+    if (it->is_idle() && (!longest || it->idle_since() < longest->idle_since())) {
+      longest = it;
+    }
+  }
+  if (!longest) {
+    return false;
+  }
+  closed_at_limit.emit(longest->peer(), true);
+  longest->close();
+  return true;
+}
+
 void server::drain() {
   shared_->draining = true;
 }
--- a/libs/http1/server.h
+++ b/libs/http1/server.h
@@ -1,10 +1,14 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <memory>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
+#include <sigc++/signal.h>
+
 #include "base/result.h"
 #include "http1/exchange.h"
 #include "http1/server_connection.h"
@@ -34,6 +38,12 @@
   [[nodiscard]] const net::address& local_address() const { return local_; }
   /// Limits of connections from now on; open ones follow at their next step.
   void set_limits(const server_limits& limits) { shared_->limits = limits; }
+  /// Most connections at one time. At the limit the one that has been idle for longest is closed
+  /// for a new one; if all are in use, the new one is closed before anything of it is read.
+  void set_max_connections(std::size_t connections) { max_connections_ = connections; }
+  /// Emitted for each connection that is closed at the limit, with its peer's address and whether
+  /// it was idle.
+  sigc::signal<void(const std::string& peer, bool idle)> closed_at_limit;
   /// Announces the end of each connection in its next response.
   void drain();
   /// Closes idle connections; those with a request in progress stay.
@@ -52,9 +62,13 @@
   static void on_accept(evconnlistener* from, evutil_socket_t fd, struct sockaddr* peer, int size,
                         void* self);
 
+  /// Closes the connection that has been idle for longest. Returns false if none is idle.
+  bool close_longest_idle();
+
   net::event_loop& loop_;
   std::shared_ptr<server_shared> shared_ = std::make_shared<server_shared>();
   evconnlistener* listener_ = nullptr;
+  std::size_t max_connections_ = std::numeric_limits<std::size_t>::max();
   net::address local_;
   std::unordered_map<server_connection*, std::shared_ptr<server_connection>> connections_;
 };
--- a/libs/http1/server_connection.cpp
+++ b/libs/http1/server_connection.cpp
@@ -45,7 +45,7 @@
 
 server_connection::server_connection(net::event_loop& loop, std::shared_ptr<server_shared> shared,
                                      evutil_socket_t fd, std::string peer)
-    : shared_(std::move(shared)),
+    : loop_(loop), shared_(std::move(shared)),
       bev_(bufferevent_socket_new(loop.native(), fd,
                                   BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)),
       peer_(std::move(peer)),
@@ -57,7 +57,8 @@
                      input_account_->set(request_.body.size());
                    },
                .on_complete = [this] { message_done_ = true; }}),
-      timer_(loop, [this] { on_timeout(); }), input_account_(make_input_account()),
+      timer_(loop, [this] { on_timeout(); }), idle_since_(loop.now()),
+      input_account_(make_input_account()),
       output_account_(shared_->budget, byte_use::output, peer_, [this] {
         const auto keep = shared_from_this();
         handle_end();
@@ -315,6 +316,7 @@
     return;
   }
   phase_ = phase::head;
+  idle_since_ = loop_.now();
   bufferevent_setwatermark(bev_, EV_READ, 0, 0);
   timer_.start_once(shared_->limits.idle_timeout);
   if (evbuffer_get_length(bufferevent_get_input(bev_)) > 0) {
@@ -350,9 +352,13 @@
   return receiving || phase_ == phase::answering || has_output();
 }
 
+bool server_connection::is_idle() const {
+  return phase_ != phase::closing && !is_busy() &&
+         evbuffer_get_length(bufferevent_get_input(bev_)) == 0;
+}
+
 void server_connection::close_if_idle() {
-  if (phase_ != phase::closing && !is_busy() &&
-      evbuffer_get_length(bufferevent_get_input(bev_)) == 0) {
+  if (is_idle()) {
     close();
   }
 }
--- a/libs/http1/server_connection.h
+++ b/libs/http1/server_connection.h
@@ -62,6 +62,11 @@
   void close_if_idle();
   /// Whether a request is being received or answered, or its response is not sent yet.
   [[nodiscard]] bool is_busy() const;
+  /// Whether nothing of a request has arrived and nothing is left to send.
+  [[nodiscard]] bool is_idle() const;
+  /// When the last response ended, or else when the connection was accepted.
+  [[nodiscard]] time_point idle_since() const { return idle_since_; }
+  [[nodiscard]] const std::string& peer() const { return peer_; }
   /// Whether part of a response is not sent yet.
   [[nodiscard]] bool has_output() const;
   [[nodiscard]] std::shared_ptr<exchange> open_exchange() const { return exchange_.lock(); }
@@ -90,11 +95,13 @@
   void handle_end();
   void on_timeout();
 
+  net::event_loop& loop_;
   std::shared_ptr<server_shared> shared_;
   bufferevent* bev_;
   std::string peer_;
   parser parser_;
   net::timer timer_;
+  time_point idle_since_;
   phase phase_ = phase::head;
   bool head_started_ = false;
   request request_;
