Wait until all instances know of a new keeper before it grants the full rate

Cause: a keeper granted its full rate 1.5 s after a change of the members, but instances may learn of a change up to two seconds later and ask the former keeper until then.

Change: 2.4 s.

--- a/libs/dispatch/keeper_changes.cpp
+++ b/libs/dispatch/keeper_changes.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-/// Instances learn of a change of the members within a second, and permits are used within 0.4 s.
-constexpr duration settling_time = milliseconds(1500);
+/// Instances learn of a change of the members within two seconds, and permits are used within 0.4
+/// s.
+constexpr duration settling_time = milliseconds(2400);
 
 } // namespace
 
