Close the descriptor of a connection at once

Cause: a closed connection kept its descriptor until the next iteration of the event loop. In one burst of 300 accepted connections, those that were closed for new ones still counted: 220 descriptors where 200 are allowed (crowd_idle_health_checks).

Change: the descriptor is closed with the connection.

--- a/libs/http1/server_connection.cpp
+++ b/libs/http1/server_connection.cpp
@@ -338,6 +338,12 @@
   timer_.cancel();
   bufferevent_disable(bev_, EV_READ | EV_WRITE);
   bufferevent_setcb(bev_, nullptr, nullptr, nullptr, nullptr);
+  // The object is freed in the next iteration of the event loop, and many connections may be
+  // accepted before.
+  if (const evutil_socket_t fd = bufferevent_getfd(bev_); fd >= 0) {
+    bufferevent_setfd(bev_, -1);
+    evutil_closesocket(fd);
+  }
   input_account_->set(0);
   output_account_.set(0);
   shared_->on_closed(*this);
