Count the contents of jobs, and refuse those that find no room

Cause: only the text of a submitted job was counted. The parsed document, the decoded bodies, the text for the store and the contents that the runner keeps were not, so eight jobs of 7.5 MB took a process to 79 MB on a machine of 64 MB.

Change: contents of jobs are in the byte account from their submission until they are done. A job whose document or copies would not fit, or that finds half of the budget taken by jobs, is refused with 503 before it is parsed; an instance refuses jobs that others pass on in the same way.

--- a/libs/http1/byte_budget.cpp
+++ b/libs/http1/byte_budget.cpp
@@ -13,6 +13,8 @@
     return "response_body";
   case byte_use::output:
     return "output";
+  case byte_use::job:
+    return "job";
   }
   return "unknown";
 }
--- a/libs/http1/byte_budget.h
+++ b/libs/http1/byte_budget.h
@@ -23,11 +23,13 @@
   response_body,
   /// Output that its receiver has not taken yet.
   output,
+  /// Contents of a batch job, from its submission until it is done.
+  job,
 };
 
-inline constexpr std::size_t byte_use_count = 3;
+inline constexpr std::size_t byte_use_count = 4;
 inline constexpr std::array<byte_use, byte_use_count> all_byte_uses = {
-    byte_use::request_body, byte_use::response_body, byte_use::output};
+    byte_use::request_body, byte_use::response_body, byte_use::output, byte_use::job};
 
 std::string_view to_string(byte_use it);
 
--- a/libs/instance/job_peer.cpp
+++ b/libs/instance/job_peer.cpp
@@ -191,6 +191,11 @@
 }
 
 void job_peer::answer_submission(const std::shared_ptr<http1::exchange>& from) {
+  if (!handlers_.has_room(from->received().body)) {
+    from->respond(error_response(refused, "no_memory", "the instance has no memory for the job now",
+                                 executed::no));
+    return;
+  }
   auto job = jobs::job_from_document(from->received().body);
   from->drop_body();
   if (!job) {
--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -5,6 +5,7 @@
 
 #include "instance/call_limits.h"
 #include "jobs/job_documents.h"
+#include "jobs/job_memory.h"
 #include "jobs/move_choice.h"
 
 namespace boragedoor::instance {
@@ -62,11 +63,14 @@
     : context_(context), store_(store), verifier_(verifier),
       run_(std::move(loaded.contents), loaded.listed, context.loop.now(), loaded.progress, {},
            loaded.carried),
+      memory_(context.budget, http1::byte_use::job, run_.contents().id, nullptr),
       texts_(context.loop, verifier,
              [this](const routing::endpoint_process& source, std::span<const std::size_t> items,
                     process_verdict verdict) { on_text_verified(source, items, verdict); }),
       listed_(loaded.listed.size(), max_cached_bytes),
-      next_save_(context.loop.now() + save_interval) {}
+      next_save_(context.loop.now() + save_interval) {
+  memory_.set(jobs::contents_bytes(run_.contents()));
+}
 
 job_runner::~job_runner() {
   *alive_ = false;
--- a/libs/instance/job_runner.h
+++ b/libs/instance/job_runner.h
@@ -144,6 +144,8 @@
   job_store& store_;
   endpoint_verifier& verifier_;
   jobs::job_run run_;
+  /// Bytes of the job's contents. They are not given up for others.
+  http1::byte_account memory_;
   std::map<std::size_t, std::shared_ptr<active_call>> runs_;
   std::map<std::size_t, std::shared_ptr<active_call>> rewards_;
   text_verification texts_;
--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -37,6 +37,7 @@
 struct job_service::submission {
   jobs::job contents;
   jobs::job_record record;
+  std::shared_ptr<http1::byte_account> memory;
   time_point deadline{};
   /// An earlier attempt may have stored the job.
   bool may_exist = false;
@@ -52,6 +53,10 @@
                         std::function<void(std::optional<job_listing>)> done) {
                    read_here(job, after, wait, std::move(done));
                  },
+             .has_room =
+                 [this](std::string_view document) {
+                   return judge_submission(document) == jobs::submission_verdict::accepted;
+                 },
              .submit =
                  [this](jobs::job job, std::function<void(submit_outcome)> done) {
                    submit_here(std::move(job), false, std::move(done));
@@ -139,6 +144,20 @@
   return members_.members().assigned_member(fmt::format("{}/{}", route, step % concurrent_steps));
 }
 
+jobs::submission_verdict job_service::judge_submission(std::string_view text) const {
+  const http1::byte_budget& budget = *context_.budget;
+  return jobs::judge_submission(text, {.limit = budget.limit(),
+                                       .used = budget.used(),
+                                       .used_by_jobs = budget.used(http1::byte_use::job)});
+}
+
+std::shared_ptr<http1::byte_account> job_service::hold_memory(const jobs::job& job) const {
+  auto it =
+      std::make_shared<http1::byte_account>(context_.budget, http1::byte_use::job, job.id, nullptr);
+  it->set(jobs::submission_bytes(jobs::contents_bytes(job)));
+  return it;
+}
+
 void job_service::submit(jobs::job job, std::function<void(submit_outcome)> done) {
   const duties::member* runner = runner_of(job.route, job.step);
   if (runner == nullptr || runner->id == context_.identity.member_id() ||
@@ -148,10 +167,12 @@
   }
   const auto shared_job = std::make_shared<jobs::job>(std::move(job));
   peer_.submit(runner->id, *shared_job,
-               [this, alive = alive_, shared_job, done = std::move(done)](submit_outcome outcome) {
+               [this, alive = alive_, shared_job, memory = hold_memory(*shared_job),
+                done = std::move(done)](submit_outcome outcome) {
                  if (!*alive) {
                    return;
                  }
+                 memory->set(0);
                  if (outcome == submit_outcome::accepted) {
                    done(outcome);
                  } else {
@@ -172,6 +193,7 @@
                    .ended = false,
                    .submitted = job.submitted,
                    .model = job.items.empty() ? std::string() : job.items.front().model};
+  entry->memory = hold_memory(job);
   entry->contents = std::move(job);
   entry->deadline = context_.loop.now() + submit_timeout;
   entry->may_exist = may_exist;
@@ -191,6 +213,7 @@
       context_.record(event_number::job_accepted, it->record.id, {},
                       {{"items", it->record.total}, {"step", it->contents.step}});
       it->done(submit_outcome::accepted);
+      it->memory->set(0);
       start_runner({std::move(it->contents), {}, {}});
       return;
     case create_outcome::exists:
--- a/libs/instance/job_service.h
+++ b/libs/instance/job_service.h
@@ -16,6 +16,7 @@
 #include "instance/job_runner.h"
 #include "instance/job_store.h"
 #include "instance/member_task.h"
+#include "jobs/job_memory.h"
 #include "jobs/job_ownership.h"
 #include "jobs/partial_text_cache.h"
 
@@ -39,6 +40,8 @@
   /// Stops the running jobs and hands them over to other members.
   void hand_over();
 
+  /// Whether a submitted job of this text, which is held already, may be parsed now.
+  [[nodiscard]] jobs::submission_verdict judge_submission(std::string_view text) const;
   /// Stores a job and starts to run it. Idempotent: a job that is already stored is reported as
   /// accepted.
   void submit(jobs::job job, std::function<void(submit_outcome)> done);
@@ -70,6 +73,8 @@
 
 private:
   struct submission;
+  /// Counts the bytes of a job until its submission has ended.
+  [[nodiscard]] std::shared_ptr<http1::byte_account> hold_memory(const jobs::job& job) const;
   /// A pending read that waits for more results of a job that this instance runs.
   struct waiting_read {
     std::string job;
--- a/tests/platform/job_peer_test.cpp
+++ b/tests/platform/job_peer_test.cpp
@@ -42,6 +42,7 @@
                     done(job == "here" ? std::optional(job_listing{3, after + 1, {result}})
                                        : std::nullopt);
                   },
+              .has_room = [](std::string_view) { return true; },
               .submit =
                   [this](jobs::job it, const std::function<void(submit_outcome)>& done) {
                     submitted = std::move(it);
