--- a/tests/platform/cold_endpoint_test.cpp
+++ b/tests/platform/cold_endpoint_test.cpp
@@ -22,8 +22,8 @@
         it.loop->run_until([&] { return instance->context().routes.version() == 9; }, wait_limit));
   }
   it.start_engine(milliseconds(1), 2);
-  constexpr int jobs = 8;
-  for (int n = 0; n < jobs; ++n) {
+  constexpr std::size_t jobs = 8;
+  for (std::size_t n = 0; n < jobs; ++n) {
     const std::string id = "j" + std::to_string(n);
     json job = make_job();
     for (json& item : job["items"]) {
