Wait only for a source that says that it is listing

Cause: an instance that had just been assigned a source called it again for 1.4 s whenever it answered 503. After many instances were killed at once, the entry of a dead watcher names a process that has started again and watches for nobody, so the restarted instances were without a configuration for that time and refused requests.

Change: a source that is about to list says so in its answer, and only then it is called again; otherwise the store is called at once, as before.

--- a/libs/instance/shared_store.cpp
+++ b/libs/instance/shared_store.cpp
@@ -64,6 +64,8 @@
 constexpr std::string_view serves_parameter = "serves_others";
 /// Header of an answer: how long ago the store confirmed the copy, in microseconds.
 constexpr std::string_view age_header = "Boragedoor-Age";
+/// Header of a refusal by an instance that is about to list the keys for others.
+constexpr std::string_view listing_header = "Boragedoor-Listing";
 
 constexpr int ok = 200;
 constexpr int gone = 410;
@@ -159,7 +161,7 @@
 }
 
 void shared_store::call_source(shared_prefix& entry, std::string target, duration wait,
-                               std::function<void(std::optional<source_answer>)> done) {
+                               source_callback done) {
   http1::call_spec spec;
   spec.target = *source(entry, loop_.now());
   spec.message = {"GET", target, {{"Host", net::to_string(spec.target)}}, {}};
@@ -167,53 +169,61 @@
   spec.progress_timeout = wait + (serves_others() ? upstream_timeout_slack : source_timeout_slack);
   spec.max_body_bytes = max_instance_answer_bytes;
   http1::call_callbacks callbacks;
-  callbacks.on_end =
-      [this, alive = alive_, &entry, address = spec.target, target = std::move(target), wait,
-       done = std::move(done)](http1::call_outcome outcome, http1::response it) mutable {
-        if (!*alive) {
-          return;
-        }
-        const auto age = http1::integer_header(it.headers, age_header);
-        const bool complete = outcome == http1::call_outcome::complete;
-        // Instances of earlier versions state no age, which only those that serve others need.
-        const bool has_age = age || !serves_others();
-        if (complete && ((it.status == ok && has_age) || it.status == gone)) {
-          done(source_answer{it.status == ok ? std::move(it.body) : std::string(),
-                             duration(age.value_or(0))});
-          return;
-        }
-        on_source_failure(entry, address, complete ? it.status : 0, std::move(target), wait,
-                          std::move(done));
-      };
+  callbacks.on_end = [this, alive = alive_, &entry, address = spec.target,
+                      target = std::move(target), wait,
+                      done = std::move(done)](http1::call_outcome outcome, http1::response it) {
+    if (!*alive) {
+      return;
+    }
+    const auto age = http1::integer_header(it.headers, age_header);
+    const bool complete = outcome == http1::call_outcome::complete;
+    // Instances of earlier versions state no age, which only those that serve others need.
+    const bool has_age = age || !serves_others();
+    if (complete && ((it.status == ok && has_age) || it.status == gone)) {
+      done(source_answer{it.status == ok ? std::move(it.body) : std::string(),
+                         duration(age.value_or(0))});
+      return;
+    }
+    const bool is_listing = complete && it.status == service_unavailable &&
+                            !net::find_header(it.headers, listing_header).empty();
+    if (!is_listing || !retry_source(entry, address, target, wait, done)) {
+      on_source_failure(entry, address, complete ? it.status : 0, done);
+    }
+  };
   client_.send(std::move(spec), std::move(callbacks));
 }
 
-void shared_store::on_source_failure(shared_prefix& entry, const net::address& address, int status,
-                                     std::string target, duration wait,
-                                     std::function<void(std::optional<source_answer>)> done) {
-  const time_point now = loop_.now();
+bool shared_store::retry_source(shared_prefix& entry, const net::address& address,
+                                const std::string& target, duration wait,
+                                const source_callback& done) {
   const net::address* const assigned = assigned_source();
-  const bool is_assigned = assigned != nullptr && *assigned == address;
-  if (status == service_unavailable && is_assigned && now < source_since_ + source_start_time) {
-    loop_.post_after(source_start_retry, [this, alive = alive_, &entry, target = std::move(target),
-                                          wait, done = std::move(done)]() mutable {
-      if (!*alive) {
-        return;
-      }
-      if (source(entry, loop_.now()) == nullptr) {
-        done(std::nullopt);
-      } else {
-        call_source(entry, std::move(target), wait, std::move(done));
-      }
-    });
-    return;
+  if (assigned == nullptr || !(*assigned == address) ||
+      loop_.now() >= source_since_ + source_start_time) {
+    return false;
   }
+  loop_.post_after(source_start_retry, [this, alive = alive_, &entry, target, wait, done] {
+    if (!*alive) {
+      return;
+    }
+    if (source(entry, loop_.now()) == nullptr) {
+      done(std::nullopt);
+    } else {
+      call_source(entry, target, wait, done);
+    }
+  });
+  return true;
+}
+
+void shared_store::on_source_failure(shared_prefix& entry, const net::address& address, int status,
+                                     const source_callback& done) {
+  const time_point now = loop_.now();
   if (status == service_unavailable) {
     // Its copies of other prefixes may be confirmed.
     entry.source_retry_at = now + source_retry_delay;
   } else {
     client_.drop_idle(address);
-    if (is_assigned) {
+    if (const net::address* const assigned = assigned_source();
+        assigned != nullptr && *assigned == address) {
       source_retry_at_ = now + source_retry_delay;
     }
   }
@@ -386,9 +396,14 @@
   // An instance with a source of its own does not serve those that serve others: two of them could
   // follow each other.
   const bool for_server = http1::number_parameter(target, serves_parameter) != 0;
-  if (entry == nullptr || !serves_others() || (for_server && assigned_source() != nullptr) ||
-      !is_fresh(*entry)) {
+  if (entry == nullptr || !serves_others() || (for_server && assigned_source() != nullptr)) {
     exchange->respond(not_watching_response());
+  } else if (!is_fresh(*entry)) {
+    http1::response out = not_watching_response();
+    if (!entry->mirror.is_complete()) {
+      out.headers.emplace_back(listing_header, "1");
+    }
+    exchange->respond(std::move(out));
   } else if (path == list_path) {
     exchange->respond(with_age(
         *entry, {ok, {{"Content-Type", "application/cbor"}}, to_message(entry->mirror.list())}));
--- a/libs/instance/shared_store.h
+++ b/libs/instance/shared_store.h
@@ -111,12 +111,14 @@
   [[nodiscard]] const net::address* assigned_source() const;
   /// The instance to call for a prefix; nullptr if the store is to be called.
   [[nodiscard]] const net::address* source(const shared_prefix& entry, time_point now) const;
-  void call_source(shared_prefix& entry, std::string target, duration wait,
-                   std::function<void(std::optional<source_answer>)> done);
-  /// Handles the answers that are none: calls again shortly if the source may still be listing.
+  using source_callback = std::function<void(std::optional<source_answer>)>;
+
+  void call_source(shared_prefix& entry, std::string target, duration wait, source_callback done);
+  /// Calls the source again shortly if it was assigned just now. Returns false if it was not.
+  bool retry_source(shared_prefix& entry, const net::address& address, const std::string& target,
+                    duration wait, const source_callback& done);
   void on_source_failure(shared_prefix& entry, const net::address& address, int status,
-                         std::string target, duration wait,
-                         std::function<void(std::optional<source_answer>)> done);
+                         const source_callback& done);
   void list_store(const std::string& prefix, const std::string& after,
                   std::function<void(list_answer)> done);
   /// Answers a watch call so that its caller lists the keys.
