Let processes of an endpoint start in order in the test of evacuations

Cause: the property test let an endpoint whose entry was gone come back as an earlier process that had stated that it leaves. A process does not start again, and the table keeps the last leaving process of an id only (dispatch_test, after 93 cases).

Change: each entry names the last process of its id or the next one.

--- a/tests/dispatch/evacuation_test.cpp
+++ b/tests/dispatch/evacuation_test.cpp
@@ -109,6 +109,8 @@
     std::map<std::string, expected_endpoint> known;
     std::set<std::pair<std::string, std::int64_t>> leaving;
     std::set<int> evacuated;
+    // Processes of an endpoint start one after the other, also when its entry was gone meanwhile.
+    std::map<std::string, std::int64_t> last_process;
     const int steps = *rc::gen::inRange(1, 60);
     for (int step = 0; step < steps; ++step) {
       const std::string id = fmt::format("e{}", *rc::gen::inRange(0, 4));
@@ -119,7 +121,8 @@
         // The entry is written, by the same process or the next one.
         expected_endpoint next =
             it == known.end() ? expected_endpoint{.data_centre = data_centre} : it->second;
-        next.process += *rc::gen::inRange(0, 2);
+        next.process = last_process[id] + *rc::gen::inRange(0, 2);
+        last_process[id] = next.process;
         next.ready = *rc::gen::inRange(0, 4) != 0;
         next.misdirected = false;
         known[id] = next;
