--- a/libs/instance/job_service.h
+++ b/libs/instance/job_service.h
@@ -40,6 +40,8 @@
   /// Stops the running jobs and hands them over to other members.
   void hand_over();
 
+  /// Whether a job is known to be stored, so that a further submission of it is accepted.
+  [[nodiscard]] bool is_stored(std::string_view job) const { return store_.find(job) != nullptr; }
   /// Whether a submitted job of this text, which is held already, may be parsed now.
   [[nodiscard]] jobs::submission_verdict judge_submission(std::string_view text) const;
   /// Stores a job and starts to run it. Idempotent: a job that is already stored is reported as
