--- a/review/common-2/deployment.h
+++ b/review/common-2/deployment.h
@@ -19,6 +19,7 @@
 #include <iostream>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <set>
 #include <string>
@@ -104,6 +105,7 @@
   template <class... Arguments> void note(fmt::format_string<Arguments...> text, Arguments&&... of) {
     const auto passed = std::chrono::steady_clock::now() - start_;
     const double s = std::chrono::duration<double>(passed).count();
+    const std::lock_guard lock(record_mutex_);
     record_ << fmt::format("{:7.3f} s  ", s) << fmt::format(text, std::forward<Arguments>(of)...)
             << std::endl;
   }
@@ -296,6 +298,7 @@
   std::string program_;
   std::string folder_;
   std::ofstream record_;
+  std::mutex record_mutex_;
   std::unique_ptr<http1::server> cloud_;
   std::chrono::steady_clock::time_point start_ = std::chrono::steady_clock::now();
 };
