Show instances that grow with each job that ever ended

Cause: nothing removes the records of ended jobs, and each instance holds them all. No product code changes.

--- a/review/common-2/deployment.h
+++ b/review/common-2/deployment.h
@@ -159,7 +159,7 @@
           {"settle_ms", 1000},
           {"ttl_max_s", 5}}},
         {"platform",
-         {{"address", net::to_string(store.address())},
+         {{"address", net::to_string(store_address.value_or(store.address()))},
           {"form", "kv"},
           {"writes_per_s", 400},
           {"reads_per_s", 2000},
@@ -272,6 +272,8 @@
 
   std::unique_ptr<net::event_loop> loop;
   platform::store_stand_in store;
+  /// Another stand-in of the store that instances use instead.
+  std::optional<net::address> store_address;
   http1::client client;
   bool trouble = true;
   std::vector<server_process> instances;
