--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,81 +1,130 @@
-// An instance is restarted after weeks of ordinary work.
-#include <fstream>
-
-#include "aged_store.h"
-#include "jobs/job_documents.h"
+// A batch job of one tenant whose item names a path that holds a second request.
+#include "deployment.h"
 
 using namespace review;
 
 namespace {
 
-/// Memory of the machine, as on the sheet of Sinaltec's front machines.
-constexpr int memory_mb = 260;
-/// Jobs that a trainer submits in `days`, one each four seconds.
-constexpr int days = 24;
-constexpr int old_jobs = days * 24 * 3600 / 4;
-constexpr int few_jobs = 1000;
+/// A replica that notes each request that it runs.
+class noting_replica {
+public:
+  noting_replica(deployment& at, const std::string& id, const std::string& service,
+                 const std::string& model)
+      : at_(at), id_(id) {
+    server_ = http1::server::listen(
+                  *at.loop, {"127.0.0.1", 0}, [this](const auto& it) { on_call(it); },
+                  &boragedoor::instance::listener_refusal)
+                  .value();
+    json models = json::array();
+    if (!model.empty()) {
+      models.push_back({{"name", model}, {"version", 1}, {"adapters", json::array()}});
+    }
+    at.store.put("servers/" + id, {{"service", service},
+                                   {"address", net::to_string(server_->local_address())},
+                                   {"zone", "z1"},
+                                   {"version", "v1"},
+                                   {"slots", 8},
+                                   {"state", "ready"},
+                                   {"cold_remaining_ms", 0},
+                                   {"models", models},
+                                   {"sequence", 1},
+                                   {"born", 1}});
+  }
+
+  struct run {
+    std::string id;
+    std::string target;
+    std::string tenant;
+  };
+  std::vector<run> runs;
 
-double status_mb(pid_t pid, const std::string& name) {
-  std::ifstream from(fmt::format("/proc/{}/status", pid));
-  std::string line;
-  while (std::getline(from, line)) {
-    if (line.starts_with(name)) {
-      return std::stod(line.substr(name.size() + 1)) / 1024;
+private:
+  void on_call(const std::shared_ptr<http1::exchange>& it) {
+    const http1::request& from = it->received();
+    if (from.target == "/report") {
+      it->respond({200,
+                   {{"Content-Type", "application/json"}},
+                   to_text({{"stage", "both"},
+                            {"models", {{{"name", "m"}, {"version", 1}}}},
+                            {"busy", false},
+                            {"sequence", 0},
+                            {"queued", 0},
+                            {"running", 0},
+                            {"born", 1}})});
+      return;
+    }
+    const std::string expected(net::find_header(from.headers, "Expect-Replica"));
+    const std::string id(net::find_header(from.headers, "Attempt-Id"));
+    if (!expected.empty() && expected != id_) {
+      it->respond({421, {{"Attempt-Id", id}}, {}});
+      return;
+    }
+    if (id.empty()) {
+      it->respond({400, {{"Not-Executed", "1"}}, {}});
+      return;
     }
+    runs.push_back({id, from.target, std::string(net::find_header(from.headers, "Tenant"))});
+    at_.note("replica {} runs request {}: {} {}, Tenant {}", id_, id, from.method, from.target,
+             runs.back().tenant);
+    it->start({200,
+               {{"Content-Type", "text/event-stream"},
+                {"Attempt-Id", id},
+                {"Response-Signature", "sig-" + id},
+                {"Weight-Versions", "1"}},
+               {}});
+    it->send_chunk("id: 1\ndata: t1\n\n");
+    it->finish();
   }
-  return 0;
-}
+
+  deployment& at_;
+  std::string id_;
+  std::unique_ptr<http1::server> server_;
+};
 
 } // namespace
 
 int main(int argc, char** argv) {
   deployment it(argc, argv);
-  aged_store store(*it.loop);
-  it.store_address = store.address();
-  store.put("op/config", to_text(configuration()));
-  // What the program has left of each job that ended: the record under boragedoor/jobs/ID. Its
-  // contents and results are under other prefixes and matter less; they are left out here.
-  const int count = it.trouble ? old_jobs : few_jobs;
-  const auto now = std::chrono::time_point_cast<duration>(std::chrono::system_clock::now());
-  std::uint64_t id = 0x9c41d07be2a35f68;
-  for (int n = 0; n < count; ++n) {
-    id = id * 6364136223846793005ULL + 1442695040888963407ULL;
-    const std::string job = fmt::format("{:016x}", id);
-    store.put_old(jobs::record_key(job),
-                  jobs::to_document(jobs::job_record{
-                      .id = job,
-                      .workspace = "north",
-                      .total = 108,
-                      .runner = fmt::format("front-sul-poa-1/{:016x}", id >> 8),
-                      .ended = true,
-                      .submitted = now - seconds(4) * (count - n) - seconds(120),
-                      .model = "daka510000"}));
+  it.store.put("op/config", configuration());
+  noting_replica engine(it, "e-1", "models", "m");
+  const server_process first = it.start("front-1");
+  if (!it.wait_ready(first)) {
+    return it.finish(could_not_run, "the instance did not become ready");
   }
-  it.note("the store has the records of {} jobs, all ended over 120 s ago", count);
-  it.wait([] { return true; }, seconds(1));
-  const server_process first = it.start("front-1", "z1", memory_mb);
-  const time_point end = it.loop->now() + seconds(80);
-  double peak = 0;
-  int turn = 0;
-  while (it.loop->now() < end && store.listed() < static_cast<std::size_t>(count)) {
-    it.pass(milliseconds(250));
-    peak = status_mb(first.pid, "VmHWM:");
-    if (++turn % 8 == 0) {
-      it.note("the instance has listed {} records, peak {:.1f} MiB", store.listed(), peak);
-    }
-  }
-  const bool listed_all = store.listed() >= static_cast<std::size_t>(count);
+  // Within the limits of the configuration: a short text of printable characters and line ends.
+  const std::string second_request = " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 00000000000000aa\r\n"
+                                     "Content-Length: 0\r\n\r\n"
+                                     "POST /jobs/of-south HTTP/1.1\r\nHost: a.example\r\n"
+                                     "Attempt-Id: 00000000000000bb\r\nTenant: south\r\n"
+                                     "Content-Length: 10\r\n\r\n";
+  const std::string item = "00000000000000aa";
+  const json job = {{"step", 0},
+                    {"model", "m"},
+                    {"min_version", 1},
+                    {"desired", 1},
+                    {"items",
+                     {{{"id", item},
+                       {"path", "/jobs/x" + (it.trouble ? second_request : std::string())},
+                       {"headers", {{"Model", "m"}, {"Token-Usage", "10,100"}}},
+                       {"body", base64("body")},
+                       {"tokens", 110},
+                       {"group", "g0"}}}}};
+  const auto out = it.call(
+      first.front, deployment::request("POST", "/jobs/x", "00000000000000cc", "key-n", to_text(job)));
+  it.note("tenant north submits job 00000000000000cc: {} {}", http1::to_string(out.outcome),
+          out.response.status);
+  it.wait([&] { return !engine.runs.empty(); }, seconds(8));
   it.pass(seconds(2));
-  peak = status_mb(first.pid, "VmHWM:");
-  it.note("peak {:.1f} MiB of {} MiB, now {:.1f} MiB", peak, memory_mb,
-          status_mb(first.pid, "VmRSS:"));
-  if (peak > memory_mb) {
-    return it.finish(broken, fmt::format("a restarted instance took {:.1f} MiB for the records of {} "
-                                         "ended jobs; the platform kills it above {} MiB",
-                                         peak, count, memory_mb));
+  const std::set<std::string> sent = {item};
+  for (const auto& one : engine.runs) {
+    if (!sent.contains(one.id)) {
+      return it.finish(broken, fmt::format("the replica ran request {} for tenant {}, whose key no "
+                                           "client has shown",
+                                           one.id, one.tenant));
+    }
   }
-  if (!listed_all) {
-    return it.finish(could_not_run, "the instance has not read all records in time");
+  if (!it.trouble && engine.runs.empty()) {
+    return it.finish(could_not_run, "the item did not run");
   }
-  return it.finish(held, fmt::format("peak {:.1f} MiB", peak));
+  return it.finish(held, fmt::format("{} runs, all of them of the job", engine.runs.size()));
 }
--- a/review/common-2/deployment.h
+++ b/review/common-2/deployment.h
@@ -50,17 +50,35 @@
   return text;
 }
 
-/// Port that was free a moment ago.
-inline int free_port() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in name{};
-  name.sin_family = AF_INET;
-  name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof name;
-  bind(fd, reinterpret_cast<sockaddr*>(&name), size);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&name), &size);
-  close(fd);
-  return ntohs(name.sin_port);
+/// First of some ports in a row that are free now. They lie below those that the system gives to
+/// outgoing connections.
+inline int free_ports(int count) {
+  static int next = 10'000 + static_cast<int>(getpid()) % 1000 * 20;
+  const auto is_free = [](int port) {
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    constexpr int on = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    name.sin_port = htons(static_cast<std::uint16_t>(port));
+    const bool free = bind(fd, reinterpret_cast<sockaddr*>(&name), sizeof name) == 0;
+    close(fd);
+    return free;
+  };
+  for (int tries = 0; tries < 1000; ++tries) {
+    const int first = next;
+    next = next + count < 32'000 ? next + count : 10'000;
+    int n = 0;
+    while (n < count && is_free(first + n)) {
+      ++n;
+    }
+    if (n == count) {
+      return first;
+    }
+  }
+  std::cerr << "no free ports\n";
+  std::exit(could_not_run);
 }
 
 /// One process of the deploy file.
@@ -112,11 +130,12 @@
 
   /// Writes the settings of an instance and starts its process.
   server_process& start(const std::string& name, const std::string& zone = "z1", int memory_mb = 260) {
-    server_process it{.name = name,
-                .front = free_port(),
-                .ready = free_port(),
-                .lookup = free_port(),
-                .internal = internal_ports()};
+    const int port = free_ports(5);
+    const server_process it{.name = name,
+                            .front = port,
+                            .ready = port + 1,
+                            .lookup = port + 2,
+                            .internal = port + 3};
     const auto at = [](int port) { return fmt::format("127.0.0.1:{}", port); };
     const json settings = {
         {"node_name", name},
@@ -129,7 +148,7 @@
         {"zones", {{"z1", "r1"}, {"z2", "r1"}}},
         {"listen_addrs",
          {{"front", at(it.front)}, {"ready", at(it.ready)}, {"directory", at(it.lookup)}}},
-        {"internal_ports", {it.internal, it.internal + 15}},
+        {"internal_ports", {it.internal, it.internal + 1}},
         {"seeds", json::array()},
         {"bootstrap", true},
         {"fault_counted", false},
@@ -171,26 +190,35 @@
           {"rate_per_s", 50.0},
           {"duties", {"usage", "autoscale"}},
           {"duty_per_s", 50.0}}}};
-    const std::string path = fmt::format("{}/{}.json", folder_, name);
-    std::ofstream(path) << to_text(settings);
+    std::ofstream(settings_path(name)) << to_text(settings);
+    instances.push_back(it);
+    restart(instances.size() - 1);
+    note("started instance {} (zone {}, memory_mb {})", name, zone, memory_mb);
+    return instances.back();
+  }
+
+  /// Starts the process of an instance, again with its settings.
+  void restart(std::size_t n) {
+    server_process& it = instances[n];
+    const std::string path = settings_path(it.name);
+    const std::string log = fmt::format("{}/{}.log", folder_, it.name);
     it.pid = fork();
-    if (it.pid == 0) {
-      prctl(PR_SET_PDEATHSIG, SIGKILL);
-      const std::string log = fmt::format("{}/{}.log", folder_, name);
-      if (freopen(log.c_str(), "a", stdout) == nullptr ||
-          freopen(log.c_str(), "a", stderr) == nullptr) {
-        _exit(could_not_run);
-      }
-      const std::string variable = "BORAGEDOOR_NODE_FILE=" + path;
-      const char* const environment[] = {"PATH=/usr/bin:/bin", "LANG=C", variable.c_str(), nullptr};
-      const char* const words[] = {program_.c_str(), nullptr};
-      execve(program_.c_str(), const_cast<char* const*>(words),
-             const_cast<char* const*>(environment));
+    if (it.pid != 0) {
+      return;
+    }
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    // Sockets of the stand-ins must close when these close them.
+    close_range(3, ~0U, 0);
+    if (freopen(log.c_str(), "a", stdout) == nullptr ||
+        freopen(log.c_str(), "a", stderr) == nullptr) {
       _exit(could_not_run);
     }
-    note("started instance {} (zone {}, memory_mb {})", name, zone, memory_mb);
-    instances.push_back(it);
-    return instances.back();
+    const std::string variable = "BORAGEDOOR_NODE_FILE=" + path;
+    const char* const environment[] = {"PATH=/usr/bin:/bin", "LANG=C", variable.c_str(), nullptr};
+    const char* const words[] = {program_.c_str(), nullptr};
+    execve(program_.c_str(), const_cast<char* const*>(words),
+           const_cast<char* const*>(environment));
+    _exit(could_not_run);
   }
 
   void stop(const server_process& it, int signal_number) {
@@ -279,22 +307,8 @@
   std::vector<server_process> instances;
 
 private:
-  /// First of two free ports that follow each other.
-  static int internal_ports() {
-    for (int n = 0; n < 100; ++n) {
-      const int port = free_port();
-      const int fd = socket(AF_INET, SOCK_STREAM, 0);
-      sockaddr_in name{};
-      name.sin_family = AF_INET;
-      name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-      name.sin_port = htons(static_cast<std::uint16_t>(port + 1));
-      const bool free = port < 65000 && bind(fd, reinterpret_cast<sockaddr*>(&name), sizeof name) == 0;
-      close(fd);
-      if (free) {
-        return port;
-      }
-    }
-    return free_port();
+  [[nodiscard]] std::string settings_path(const std::string& name) const {
+    return fmt::format("{}/{}.json", folder_, name);
   }
 
   std::string program_;
