Name the drivers of the second review apart from those of the first

Cause: review/build.sh builds each case.cpp, and those of the second review need other folders. Change: they are driver.cpp now.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -24,8 +24,8 @@
 done
 started=()
 for folder in review/6 review/7 review/8 review/9 review/10; do
-  [ -f "$folder/case.cpp" ] || continue
-  g++ $flags "$folder/case.cpp" "$out"/*.o -Wl,--start-group "${libraries[@]}" -Wl,--end-group \
+  [ -f "$folder/driver.cpp" ] || continue
+  g++ $flags "$folder/driver.cpp" "$out"/*.o -Wl,--start-group "${libraries[@]}" -Wl,--end-group \
     $(pkg-config --libs $packages) -lhttp_parser -lgflags -lpthread -o "$out/case-$(basename "$folder")" &
   started+=($!)
 done
