Show the late copy of an answer on a reward call, within the site's shares

Cause: the first form of case 10 copied one of three answers of a single replica, more than the site's share. Change: one of seven replicas, one of 104 of its answers, on a reward call.

--- a/review/10/driver.cpp
+++ b/review/10/driver.cpp
@@ -1,8 +1,9 @@
-// A replica fails two runs of an item, and the copy of the second failure arrives late.
+// A replica fails three runs of a reward call, and the copy of the third failure arrives late.
 #include <atomic>
 #include <thread>
 
 #include "deployment.h"
+#include "replica_stand_in.h"
 
 using namespace review;
 
@@ -53,10 +54,11 @@
   std::string buffer_;
 };
 
-/// A model replica of one slot. It fails the first two runs of the item with 500 and does the third.
-class failing_replica {
+/// A replica of the plain service, in the instance's own zone. It fails the first three runs of a reward
+/// call with 500 and does the fourth.
+class grey_replica {
 public:
-  failing_replica(deployment& at, bool sends_copy) : at_(at), sends_copy_(sends_copy) {
+  grey_replica(deployment& at, bool sends_copy) : at_(at), sends_copy_(sends_copy) {
     fd_ = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in name{};
     name.sin_family = AF_INET;
@@ -65,17 +67,16 @@
     bind(fd_, reinterpret_cast<sockaddr*>(&name), size);
     getsockname(fd_, reinterpret_cast<sockaddr*>(&name), &size);
     listen(fd_, 64);
-    at.store.put("servers/e-1",
-                 {{"service", "models"},
-                  {"address", fmt::format("127.0.0.1:{}", ntohs(name.sin_port))},
-                  {"zone", "z1"},
-                  {"version", "v1"},
-                  {"slots", 8},
-                  {"state", "ready"},
-                  {"cold_remaining_ms", 0},
-                  {"models", {{{"name", "m"}, {"version", 1}, {"adapters", json::array()}}}},
-                  {"sequence", 1},
-                  {"born", 1}});
+    at.store.put("servers/p-1", {{"service", "plain"},
+                                 {"address", fmt::format("127.0.0.1:{}", ntohs(name.sin_port))},
+                                 {"zone", "z1"},
+                                 {"version", "v1"},
+                                 {"slots", 6},
+                                 {"state", "ready"},
+                                 {"cold_remaining_ms", 0},
+                                 {"models", json::array()},
+                                 {"sequence", 1},
+                                 {"born", 1}});
     std::thread([this] {
       for (;;) {
         const int fd = accept(fd_, nullptr, nullptr);
@@ -87,14 +88,14 @@
     }).detach();
   }
 
-  std::atomic<int> runs{0};
-  /// Runs that the replica answered with 500.
+  std::atomic<int> answers{0};
+  std::atomic<int> copies{0};
+  /// Runs of the reward call that this replica answered with 500.
   std::atomic<int> failed_runs{0};
 
 private:
-  void say(const std::string& text) { at_.note("{}", text); }
-
   void serve(int fd) {
+    constexpr int runs_to_fail = 3;
     wire connection(fd);
     std::string copy;
     for (;;) {
@@ -102,73 +103,79 @@
       if (request.empty()) {
         return;
       }
-      if (request.starts_with("GET /report")) {
-        const std::string body =
-            to_text({{"stage", "both"},
-                     {"models", {{{"name", "m"}, {"version", 1}, {"adapters", json::array()}}}},
-                     {"busy", false},
-                     {"sequence", 0},
-                     {"queued", 0},
-                     {"running", 0},
-                     {"born", 1}});
-        connection.write(fmt::format("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-                                     "Content-Length: {}\r\n\r\n{}",
-                                     body.size(), body));
-        continue;
-      }
       const std::string id = wire::field(request, "Attempt-Id");
-      const int run = ++runs;
-      say(fmt::format("replica: run {} of item {} begins", run, id));
+      const bool is_reward = request.starts_with("POST /score/");
+      const int run = is_reward ? ++reward_runs_ : 0;
+      if (is_reward) {
+        at_.note("replica p-1: run {} of reward call {} begins", run, id);
+      }
       if (!copy.empty()) {
-        say("replica: the second copy of its last answer (500) arrives now, late");
+        at_.note("replica p-1: the second copy of its last answer (500) arrives now, late");
         connection.write(copy);
+        ++copies;
         copy.clear();
       }
-      if (run <= 2) {
-        ++failed_runs;
-        const std::string answer =
-            fmt::format("HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: {}\r\n"
-                        "Response-Signature: sig-{}\r\nContent-Length: 6\r\n\r\nfailed",
-                        id, id);
-        say(fmt::format("replica: answers run {} with 500", run));
-        connection.write(answer);
-        if (sends_copy_ && run == 2) {
-          copy = answer;
-        }
-        continue;
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      const bool fails = is_reward && run <= runs_to_fail;
+      const std::string answer = fmt::format(
+          "HTTP/1.1 {}\r\nAttempt-Id: {}\r\nResponse-Signature: sig-{}\r\nContent-Length: 2\r\n\r\nok",
+          fails ? "500 Internal Server Error" : "200 OK", id, id);
+      ++answers;
+      failed_runs += fails ? 1 : 0;
+      if (is_reward) {
+        at_.note("replica p-1: answers run {} with {}", run, fails ? 500 : 200);
       }
-      connection.write(fmt::format("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                                   "Attempt-Id: {}\r\nResponse-Signature: sig-{}\r\n"
-                                   "Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
-                                   id, id));
-      bool open = true;
-      for (int n = 1; n <= 5 && open; ++n) {
-        std::this_thread::sleep_for(std::chrono::milliseconds(40));
-        const std::string event = fmt::format("id: {}\ndata: t{}\n\n", n, n);
-        open = connection.write(fmt::format("{:x}\r\n{}\r\n", event.size(), event));
+      connection.write(answer);
+      if (sends_copy_ && run == runs_to_fail) {
+        copy = answer;
       }
-      say(fmt::format("replica: run {} {}", run,
-                      open && connection.write("0\r\n\r\n") ? "is complete" : "was dropped"));
     }
   }
 
   deployment& at_;
   bool sends_copy_;
   int fd_ = -1;
+  std::atomic<int> reward_runs_{0};
 };
 
 } // namespace
 
 int main(int argc, char** argv) {
   deployment it(argc, argv);
-  constexpr int max_attempts = 3;
-  it.store.put("op/config", configuration());
+  constexpr int max_attempts = 4;
+  constexpr int lookups = 50;
+  int sent_lookups = 0x1000;
+  json config = configuration();
+  config["routes"][1]["max_attempts"] = max_attempts;
+  it.store.put("op/config", config);
   // Never destroyed: its threads serve until the process ends.
-  auto& engine = *new failing_replica(it, it.trouble);
+  auto& grey = *new grey_replica(it, it.trouble);
+  std::vector<std::unique_ptr<platform::replica_stand_in>> others;
+  for (int n = 2; n <= 7; ++n) {
+    others.push_back(std::make_unique<platform::replica_stand_in>(
+        *it.loop, it.store,
+        platform::replica_stand_in::options{
+            .id = fmt::format("p-{}", n), .service = "plain", .zone = "z2", .slots = 6}));
+  }
+  platform::replica_stand_in engine(
+      *it.loop, it.store,
+      {.id = "e-1", .service = "models", .model = "m", .slots = 8, .events = 5});
   const server_process first = it.start("front-1");
   if (!it.wait_ready(first)) {
     return it.finish(could_not_run, "the instance did not become ready");
   }
+  const auto look_up = [&] {
+    int served = 0;
+    for (int n = 0; n < lookups; ++n) {
+      served += it.call(first.front, deployment::request("POST", "/plans/7", fmt::format("{:016x}", ++sent_lookups),
+                                                         "key-n"))
+                            .response.status == 200
+                    ? 1
+                    : 0;
+    }
+    it.note("client: {} of {} lookups are answered with 200", served, lookups);
+  };
+  look_up();
   const std::string id = "7c41e09b52d6a3f8";
   const json job = {{"step", 0},
                     {"model", "m"},
@@ -180,7 +187,12 @@
                        {"headers", {{"Model", "m"}, {"Token-Usage", "10,100"}}},
                        {"body", base64("body")},
                        {"tokens", 110},
-                       {"group", "g0"}}}}};
+                       {"group", "g0"},
+                       {"scorer_url",
+                        {{"id", "40c8f1a7b3e9265d"},
+                         {"host", "a.example"},
+                         {"path", "/score/x"},
+                         {"body", base64("text")}}}}}}};
   const auto out =
       it.call(first.front, deployment::request("POST", "/jobs/x", id, "key-n", to_text(job)));
   it.note("client: job {} is answered with {}", id, out.response.status);
@@ -194,14 +206,15 @@
     if (page.response.status == 200 && read && !read.value()["results"].empty()) {
       const json& result = read.value()["results"][0];
       it.note("client reads {}", to_text(read.value()));
-      const int failures = engine.failed_runs;
+      const int failures = grey.failed_runs;
+      look_up();
+      it.note("replica p-1, one of seven: {} answers, {} of them with 500, {} copies", grey.answers.load(),
+              failures, grey.copies.load());
       if (result["state"] == "terminated" && failures < max_attempts) {
-        return it.finish(broken, fmt::format("the item is terminated after {} of {} failed runs",
+        return it.finish(broken, fmt::format("the item is terminated after {} of {} failed runs of its "
+                                             "reward call",
                                              failures, max_attempts));
       }
-      if (result["state"] == "done" && result["output"] != "t1\nt2\nt3\nt4\nt5") {
-        return it.finish(broken, "the text isn't whole");
-      }
       return it.finish(held, "the item is " + result["state"].get<std::string>());
     }
     it.pass(milliseconds(250));
