--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -11,7 +11,11 @@
 fi
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
-timeout -k 5 110 "$driver" "$program" review/10/record.txt "$folder"
+timeout -k 5 110 "$driver" "$program" review/10/record.txt "$folder" &
+child=$!
+# A script that is told to stop ends its driver, and with it the instances.
+trap 'kill -TERM "$child" 2>/dev/null; wait "$child"; exit 2' TERM INT HUP
+wait "$child"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
