Refuse texts of a job that would be read as another request

Cause: the path and the id of an item, and the path, the id and the host of its reward call, were written into the request to the endpoint as they came, with spaces and line ends. The reader of jobs checked only header fields of items, and the writer checked nothing. The parser also let tabs, form feeds and other bytes than ASCII into the target of a caller's request.

The parser refuses such a target. The client writes nothing of a request that would not be read as this one request and ends the call as invalid_request, which is no failure of the endpoint. An item of a job that an earlier release stored is listed as terminated then, and the other items run.

The fix works on every path, because all requests to endpoints, instances and the store are written by the same function.

--- a/libs/http1/call.h
+++ b/libs/http1/call.h
@@ -34,6 +34,8 @@
   timed_out,
   /// The bytes are not a response.
   malformed,
+  /// The request cannot be written so that it is read as it is meant; nothing was sent.
+  invalid_request,
 };
 
 std::string_view to_string(call_outcome outcome);
--- a/libs/http1/client_connection.cpp
+++ b/libs/http1/client_connection.cpp
@@ -55,6 +55,8 @@
     return "timed_out";
   case call_outcome::malformed:
     return "malformed";
+  case call_outcome::invalid_request:
+    return "invalid_request";
   }
   return "unknown";
 }
@@ -100,6 +102,15 @@
   skipping_ = false;
   message_done_ = false;
   too_large_ = false;
+  if (!is_writable(spec_.message)) {
+    // The caller must have its handle before it hears of the failure.
+    loop_.post([keep = shared_from_this()] {
+      if (keep->active_) {
+        keep->fail(call_outcome::invalid_request);
+      }
+    });
+    return;
+  }
   if (bev_ == nullptr) {
     connect();
   } else {
--- a/libs/http1/message.cpp
+++ b/libs/http1/message.cpp
@@ -99,6 +99,25 @@
          std::all_of(value.begin(), value.end(), visible);
 }
 
+bool is_valid_target(std::string_view target) {
+  return !target.empty() && std::all_of(target.begin(), target.end(), [](char it) {
+    const auto code = static_cast<unsigned char>(it);
+    return code > 0x20 && code < 0x7f;
+  });
+}
+
+bool is_exact_field_value(std::string_view value) {
+  return !value.empty() && trim(value).size() == value.size() && is_valid_header("name", value);
+}
+
+bool is_writable(const request& it) {
+  return !it.method.empty() &&
+         std::all_of(it.method.begin(), it.method.end(), is_token_character) &&
+         is_valid_target(it.target) &&
+         std::all_of(it.headers.begin(), it.headers.end(),
+                     [](const auto& field) { return is_valid_header(field.first, field.second); });
+}
+
 std::string_view reason_phrase(int status) {
   switch (status) {
 #define BORAGEDOOR_PHRASE(number, name, text)                                                      \
--- a/libs/http1/message.h
+++ b/libs/http1/message.h
@@ -46,6 +46,17 @@
 /// bytes could be read in another way by the next receiver.
 bool is_valid_header(std::string_view name, std::string_view value);
 
+/// Whether a text can be a request target: visible ASCII characters only. A receiver may take any
+/// white space for the end of the target (RFC 9112, 3).
+bool is_valid_target(std::string_view target);
+
+/// Whether a field value arrives as it is: valid, not empty and without white space around it,
+/// which receivers remove.
+bool is_exact_field_value(std::string_view value);
+
+/// Whether a request, once written, is read as this one request with these fields.
+bool is_writable(const request& it);
+
 /// The reason phrase of a status; "Unknown" for one without a registered phrase.
 std::string_view reason_phrase(int status);
 
--- a/libs/http1/parser.cpp
+++ b/libs/http1/parser.cpp
@@ -58,6 +58,10 @@
     head.status = static_cast<int>(it->status_code);
     if (self.kind == message_kind::request) {
       head.method = http_method_str(static_cast<http_method>(it->method));
+      if (!is_valid_target(head.target)) {
+        self.refused = true;
+        return refuse;
+      }
     }
     head.keep_alive = http_should_keep_alive(it) != 0;
     head.has_length = (it->flags & (F_CONTENTLENGTH | F_CHUNKED)) != 0;
@@ -131,7 +135,7 @@
 
 std::string parser::error_text() const {
   if (impl_->refused) {
-    return "the header fields are ambiguous or not allowed";
+    return "the target or the header fields are ambiguous or not allowed";
   }
   return http_errno_description(HTTP_PARSER_ERRNO(&impl_->state));
 }
--- a/libs/instance/endpoint_calls.cpp
+++ b/libs/instance/endpoint_calls.cpp
@@ -58,7 +58,7 @@
 
 http1::call_outcome outcome_from(std::string_view text) {
   for (const auto it : {http1::call_outcome::not_connected, http1::call_outcome::timed_out,
-                        http1::call_outcome::malformed}) {
+                        http1::call_outcome::malformed, http1::call_outcome::invalid_request}) {
     if (text == to_string(it)) {
       return it;
     }
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -466,6 +466,10 @@
     case http1::call_outcome::not_connected:
       result = dispatch::attempt_result::not_run;
       break;
+    case http1::call_outcome::invalid_request:
+      result = dispatch::attempt_result::not_run;
+      signal.reset();
+      break;
     case http1::call_outcome::timed_out:
       signal = routing::health_signal::progress_timeout;
       check_for_crash(it);
--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -414,6 +414,11 @@
     finish_run(*it, it->rejection, std::nullopt, "rejected");
     return;
   }
+  if (outcome == http1::call_outcome::invalid_request) {
+    // An earlier release accepted the item.
+    finish_run(*it, jobs::run_outcome::impossible, std::nullopt, to_string(outcome));
+    return;
+  }
   if (outcome != http1::call_outcome::complete) {
     const auto signal = outcome == http1::call_outcome::timed_out
                             ? routing::health_signal::progress_timeout
@@ -639,6 +644,10 @@
     }
   } else if (outcome == http1::call_outcome::timed_out) {
     signal = routing::health_signal::progress_timeout;
+  } else if (outcome == http1::call_outcome::invalid_request) {
+    // An earlier release accepted the item.
+    how = jobs::reward_outcome::impossible;
+    signal.reset();
   }
   context_.endpoints.note_finished(it->endpoint, signal, now);
   const jobs::reward_call& call = *run_.item(it->item).reward;
--- a/libs/jobs/job_run.cpp
+++ b/libs/jobs/job_run.cpp
@@ -297,7 +297,8 @@
     finish(n, item_state::done, now);
     return;
   }
-  if (outcome == reward_outcome::failed && ++it.reward_failures >= reward_attempts) {
+  if (outcome == reward_outcome::impossible ||
+      (outcome == reward_outcome::failed && ++it.reward_failures >= reward_attempts)) {
     finish(n, item_state::terminated, now);
     return;
   }
--- a/libs/jobs/job_run.h
+++ b/libs/jobs/job_run.h
@@ -28,7 +28,7 @@
   not_run,
   /// The endpoint reported that the run failed.
   failed,
-  /// The endpoint reported that the item can never be completed.
+  /// The item can never be completed: the endpoint reported it, or its request cannot be sent.
   impossible,
   /// The job does not accept the version of the endpoint's weights.
   stale_weights,
@@ -36,7 +36,9 @@
   moved,
 };
 
-enum class reward_outcome { scored, failed, broken };
+/// Outcome of a reward call: scored, a failure of the endpoint, no usable response, or a call that
+/// cannot be sent at all.
+enum class reward_outcome { scored, failed, broken, impossible };
 
 /// The endpoint of a run, and its software. Different software generates texts that do not fit
 /// together.
--- a/tests/http1/client_test.cpp
+++ b/tests/http1/client_test.cpp
@@ -72,6 +72,39 @@
                        [](const auto& it) { return has_request(*it); }));
   }
 
+  SECTION("a request that would be read as another one is not written") {
+    // Guards against a text of a caller that ends the request line or a field early, so that the
+    // server takes the rest for a further request.
+    std::string name = "Field";
+    std::string value = "value";
+    const auto part = GENERATE(0, 1, 2, 3);
+    std::string* const to[] = {&spec.message.method, &spec.message.target, &name, &value};
+    *to[part] = GENERATE_COPY(std::string("\r\n\r\nGET /other HTTP/1.1\r\n"), std::string("a\nb"),
+                              std::string("a\0b", 3), part == 3 ? std::string("\r") : "a b",
+                              part == 3 ? std::string("\x7f") : std::string());
+    INFO("part " << part << ": " << *to[part]);
+    spec.message.headers = {{name, value}};
+    CHECK(call() == call_outcome::invalid_request);
+    CHECK(server.connections.empty());
+
+    SECTION("also on a connection that is open") {
+      const call_spec bad = std::exchange(spec, {});
+      spec.target = server.address();
+      CHECK(call() == call_outcome::complete);
+      server.connections.front()->received.clear();
+      spec = bad;
+      CHECK(call() == call_outcome::invalid_request);
+      CHECK(server.connections.front()->received.empty());
+    }
+
+    SECTION("and nothing is reported of a call that was cancelled") {
+      end = {};
+      calls.send(spec, callbacks)->cancel();
+      loop->run_until([] { return false; }, milliseconds(20));
+      CHECK_FALSE(end.outcome);
+    }
+  }
+
   SECTION("a connection is kept for the time that the server states, less a margin") {
     // Guards against a request that crosses the server's close, and against a new connection for
     // each request of a job that comes every few seconds.
--- a/tests/http1/server_test.cpp
+++ b/tests/http1/server_test.cpp
@@ -50,6 +50,17 @@
     CHECK_FALSE(caller->closed_by_peer);
   }
 
+  SECTION("a request target with other bytes than visible characters is refused") {
+    // Guards against a target that the next receiver ends at another place. Receivers may take
+    // tabs and form feeds for the end of the target (RFC 9112, 3).
+    const auto bytes = GENERATE(std::string("\t"), std::string("\f"), std::string("\v"),
+                                std::string("\x7f"), std::string("\x85"), std::string("\xc3\xa9"));
+    caller->send("GET /1" + bytes + "HTTP/1.1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(expect("\r\n\r\n"));
+    CHECK(caller->received.starts_with("HTTP/1.1 400"));
+    CHECK(requests.empty());
+  }
+
   SECTION("a response is complete before its connection closes") {
     // The first write callback comes when the output is still empty; it once closed the connection.
     caller->send("GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
--- a/tests/platform/job_codec_test.cpp
+++ b/tests/platform/job_codec_test.cpp
@@ -83,6 +83,32 @@
   CHECK_FALSE(read_job(to_text(submission), "j", "north", make_route(), morning));
 }
 
+// Guards against a text of a job that reaches an endpoint as a second request or as header fields,
+// and against an id that no response can repeat.
+TEST_CASE("a job is refused if a text of it cannot stand in a request as it is") {
+  const std::string break_out = "x HTTP/1.1\r\nTenant: other\r\n\r\n";
+  struct bad_text {
+    std::string_view field;
+    std::string value;
+  };
+  const auto bad = GENERATE_COPY(
+      bad_text{"path", "/p/" + break_out}, bad_text{"path", "/p/a b"}, bad_text{"path", "/p/a\tb"},
+      bad_text{"path", "/p/\n"}, bad_text{"path", std::string("/p/\0", 4)},
+      bad_text{"path", "/p/\x7f"}, bad_text{"path", "/p/\xc3\xa9"}, bad_text{"path", "p/1"},
+      bad_text{"path", ""}, bad_text{"id", "i" + break_out}, bad_text{"id", ""},
+      bad_text{"id", " i1"}, bad_text{"id", "i1\t"}, bad_text{"host", "b.example:1\r\nX: y"},
+      bad_text{"host", "b.example "}, bad_text{"host", ""});
+  const bool of_reward = GENERATE(false, true);
+  if (bad.field == "host" && !of_reward) {
+    return;
+  }
+  json submission = make_submission();
+  json& item = submission["items"][0];
+  (of_reward ? item["scorer_url"] : item)[std::string(bad.field)] = bad.value;
+  INFO((of_reward ? "reward call, " : "item, ") << bad.field << ": " << bad.value);
+  CHECK_FALSE(read_job(to_text(submission), "j", "north", make_route(), morning));
+}
+
 TEST_CASE("results are written as the trainer reads them") {
   instance::job_listing listing{40, 13, {}};
   listing.results.push_back({"i1", jobs::item_state::done, "a\nb", {6, 7}, "sig"});
--- a/tests/platform/store_stand_in.cpp
+++ b/tests/platform/store_stand_in.cpp
@@ -86,8 +86,12 @@
 }
 
 void store_stand_in::put(const std::string& key, const json& value) {
+  put_bytes(key, to_text(value));
+}
+
+void store_stand_in::put_bytes(const std::string& key, std::string value) {
   ++revision_;
-  write(key, to_text(value), 0);
+  write(key, std::move(value), 0);
   notify_watchers();
 }
 
--- a/tests/platform/store_stand_in.h
+++ b/tests/platform/store_stand_in.h
@@ -54,6 +54,8 @@
 
   /// Write as an operator, a trainer or a replica does, without a call.
   void put(const std::string& key, const json& value);
+  /// Writes bytes as they are, as an instance of another release does.
+  void put_bytes(const std::string& key, std::string value);
   void erase(const std::string& key);
   [[nodiscard]] bool has(const std::string& key) const { return items_.contains(key); }
   /// Returns the keys with this prefix.
