Send runs of one request on different connections

Cause: a response is matched by the id of its request, which all runs of the request share. They were sent on the same kept connection, so a late second copy of an earlier run's response was taken as the response to the next run.

Change: the client does not use a connection that has carried a call with the same response id. A connection remembers the hashes of its ids and is closed after 1,024 of them (8 KiB), so that it forgets none.

--- a/libs/http1/client.cpp
+++ b/libs/http1/client.cpp
@@ -41,7 +41,8 @@
   }
 }
 
-std::shared_ptr<client_connection> client::take_idle(const net::address& target) {
+std::shared_ptr<client_connection> client::take_idle(const net::address& target,
+                                                     std::string_view response_id) {
   const auto found = idle_.find(target);
   if (found == idle_.end()) {
     return nullptr;
@@ -53,7 +54,7 @@
   for (const auto& it : all) {
     if (expired(it)) {
       it->close();
-    } else {
+    } else if (!it->has_carried(response_id)) {
       newest = it;
     }
   }
@@ -70,7 +71,7 @@
 std::shared_ptr<call> client::send(call_spec spec, call_callbacks callbacks) {
   std::shared_ptr<client_connection> connection;
   if (!spec.new_connection) {
-    connection = take_idle(spec.target);
+    connection = take_idle(spec.target, spec.response_id);
   }
   if (!connection) {
     connection = std::make_shared<client_connection>(loop_, pool_, budget_, spec.target);
--- a/libs/http1/client.h
+++ b/libs/http1/client.h
@@ -43,7 +43,9 @@
   [[nodiscard]] std::uint64_t connections_made() const { return made_; }
 
 private:
-  std::shared_ptr<client_connection> take_idle(const net::address& target);
+  /// Returns the connection that became idle last and may carry a call with this response id.
+  std::shared_ptr<client_connection> take_idle(const net::address& target,
+                                               std::string_view response_id);
 
   net::event_loop& loop_;
   client_connection::owner pool_;
--- a/libs/http1/client_connection.cpp
+++ b/libs/http1/client_connection.cpp
@@ -13,6 +13,7 @@
 #include <event2/event.h>
 #include <fmt/format.h>
 
+#include "base/hash.h"
 #include "base/release_memory.h"
 #include "http1/message_output.h"
 
@@ -32,6 +33,10 @@
 constexpr int probe_seconds = 1;
 constexpr int lost_probes = 2;
 
+/// Calls with a response id that a connection carries before it is closed, so that it can remember
+/// all their ids: 8 KiB.
+constexpr std::size_t max_carried = 1024;
+
 void set_socket_options(evutil_socket_t fd) {
   constexpr int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -102,6 +107,9 @@
   skipping_ = false;
   message_done_ = false;
   too_large_ = false;
+  if (!spec_.response_id.empty()) {
+    carried_.push_back(hash64(spec_.response_id));
+  }
   if (!is_writable(spec_.message)) {
     // The caller must have its handle before it hears of the failure.
     loop_.post([keep = shared_from_this()] {
@@ -118,6 +126,11 @@
   }
 }
 
+bool client_connection::has_carried(std::string_view response_id) const {
+  return !response_id.empty() &&
+         std::find(carried_.begin(), carried_.end(), hash64(response_id)) != carried_.end();
+}
+
 void client_connection::connect() {
   parser_ = std::make_unique<parser>(
       message_kind::response,
@@ -290,8 +303,8 @@
     return;
   }
   // Bytes beyond the response are of no request; such a connection is not used again.
-  const bool reusable =
-      bev_ != nullptr && keep_alive_ && evbuffer_get_length(bufferevent_get_input(bev_)) == 0;
+  const bool reusable = bev_ != nullptr && keep_alive_ && carried_.size() < max_carried &&
+                        evbuffer_get_length(bufferevent_get_input(bev_)) == 0;
   end(call_outcome::complete);
   if (!active_) {
     if (reusable) {
--- a/libs/http1/client_connection.h
+++ b/libs/http1/client_connection.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <string_view>
+#include <vector>
 
 #include "http1/byte_budget.h"
 #include "http1/call.h"
@@ -38,6 +41,8 @@
   void close();
 
   [[nodiscard]] const net::address& target() const { return target_; }
+  /// Whether the connection has carried a call with this response id; false for an empty one.
+  [[nodiscard]] bool has_carried(std::string_view response_id) const;
   /// When the connection became idle, for its age.
   [[nodiscard]] time_point idle_since() const { return idle_since_; }
   /// How long the server keeps it, by the last response.
@@ -79,6 +84,8 @@
   /// Bytes of the call's responses that were not of a body.
   std::size_t head_bytes_ = 0;
   int skipped_responses_ = 0;
+  /// Hashes of the response ids of all calls.
+  std::vector<std::uint64_t> carried_;
   bool active_ = false;
   bool connected_ = false;
   bool skipping_ = false;
--- a/libs/instance/endpoint_calls.cpp
+++ b/libs/instance/endpoint_calls.cpp
@@ -87,6 +87,7 @@
     sent_at_ = owner_.loop_.now();
     http1::call_spec spec = make_spec();
     spec.target = request_.address;
+    spec.response_id = request_.attempt;
     spec.may_send = [self = shared_from_this()] {
       self->connected_ = true;
       self->owner_.note_connected();
--- a/tests/http1/client_test.cpp
+++ b/tests/http1/client_test.cpp
@@ -105,6 +105,39 @@
     }
   }
 
+  SECTION("a connection carries only one call with a response id") {
+    // Guards against a late copy of a response that is taken for the response to the next run of
+    // the same request.
+    spec.response_id = "a";
+    call();
+    spec.response_id = "b";
+    call();
+    CHECK(calls.connections_made() == 1);
+    spec.response_id = "a";
+    call();
+    CHECK(calls.connections_made() == 2);
+
+    SECTION("and the other connections are still used") {
+      spec.response_id = "b";
+      call();
+      spec.response_id = "c";
+      call();
+      CHECK(calls.connections_made() == 2);
+      spec.response_id.clear();
+      call();
+      CHECK(calls.connections_made() == 2);
+    }
+  }
+
+  SECTION("a connection is closed before it forgets which ids it has carried") {
+    constexpr int remembered = 1024;
+    for (int n = 0; n <= remembered; ++n) {
+      spec.response_id = std::to_string(n);
+      REQUIRE(call() == call_outcome::complete);
+    }
+    CHECK(calls.connections_made() == 2);
+  }
+
   SECTION("a connection is kept for the time that the server states, less a margin") {
     // Guards against a request that crosses the server's close, and against a new connection for
     // each request of a job that comes every few seconds.
