Repeat a reward call without a usable response less and less often

An endpoint whose answers never match got the same reward call about fifteen times a second.

Cause: a reward call was repeated after 50 ms whatever had happened, while a run of an item pauses longer after each run without an event.

Change: without a usable response the pause doubles up to a second, as for runs. Calls that were refused, not received or answered with a failure are repeated after 50 ms as before.

--- a/libs/instance/job_runner.cpp
+++ b/libs/instance/job_runner.cpp
@@ -632,6 +632,7 @@
   if (outcome == http1::call_outcome::complete) {
     signal.reset();
     if (reply.misdirected) {
+      how = jobs::reward_outcome::not_run;
       context_.endpoints.note_misdirected(it->endpoint);
     } else if (!reply.not_run && response.status >= 200 && response.status < 300) {
       how = reply.signature.empty() ? jobs::reward_outcome::broken : jobs::reward_outcome::scored;
@@ -640,8 +641,11 @@
     } else if (!reply.not_run && response.status >= 500) {
       how = jobs::reward_outcome::failed;
     } else if (reply.not_run) {
+      how = jobs::reward_outcome::not_run;
       context_.endpoints.note_refused(it->endpoint, now);
     }
+  } else if (outcome == http1::call_outcome::not_connected) {
+    how = jobs::reward_outcome::not_run;
   } else if (outcome == http1::call_outcome::timed_out) {
     signal = routing::health_signal::progress_timeout;
   } else if (outcome == http1::call_outcome::invalid_request) {
--- a/libs/jobs/job_run.cpp
+++ b/libs/jobs/job_run.cpp
@@ -252,13 +252,16 @@
   }
 }
 
-void job_run::schedule_retry(tracked_item& it, std::string_view endpoint, time_point now) {
+duration job_run::retry_delay(int earlier_failures) const {
   duration delay = options_.initial_retry_delay;
-  for (int n = 0; n < it.runs_without_events && delay < options_.max_retry_delay; ++n) {
+  for (int n = 0; n < earlier_failures && delay < options_.max_retry_delay; ++n) {
     delay *= 2;
   }
-  ++it.runs_without_events;
-  it.not_before = now + std::min(delay, options_.max_retry_delay);
+  return std::min(delay, options_.max_retry_delay);
+}
+
+void job_run::schedule_retry(tracked_item& it, std::string_view endpoint, time_point now) {
+  it.not_before = now + retry_delay(it.runs_without_events++);
   it.avoided_endpoints.emplace_back(endpoint);
   if (it.avoided_endpoints.size() > max_avoided_endpoints) {
     it.avoided_endpoints.erase(it.avoided_endpoints.begin());
@@ -303,7 +306,8 @@
     return;
   }
   it.current_phase = phase::text_complete;
-  it.not_before = now + options_.initial_retry_delay;
+  it.not_before = now + (outcome == reward_outcome::broken ? retry_delay(it.broken_rewards++)
+                                                           : options_.initial_retry_delay);
 }
 
 std::optional<double> job_run::mean_interval(const tracked_item& it) const {
--- a/libs/jobs/job_run.h
+++ b/libs/jobs/job_run.h
@@ -36,9 +36,17 @@
   moved,
 };
 
-/// Outcome of a reward call: scored, a failure of the endpoint, no usable response, or a call that
-/// cannot be sent at all.
-enum class reward_outcome { scored, failed, broken, impossible };
+enum class reward_outcome {
+  scored,
+  /// The endpoint reported that the call failed.
+  failed,
+  /// There was no usable response.
+  broken,
+  /// The endpoint was not reached, or reported that it did not run the call.
+  not_run,
+  /// The call cannot be sent.
+  impossible,
+};
 
 /// The endpoint of a run, and its software. Different software generates texts that do not fit
 /// together.
@@ -51,6 +59,8 @@
 
 struct job_run_options {
   /// Delay after an unsuccessful run. It doubles with each further one, and is reset by an event.
+  /// The same holds for reward calls without a usable response; other ones are repeated after the
+  /// initial delay.
   /// It stays short: items never crash endpoints themselves, so one that was hit by many crashes is
   /// still to be placed as soon as an endpoint takes it.
   duration initial_retry_delay = milliseconds(50);
@@ -219,6 +229,8 @@
     time_point not_before{};
     int failures = 0;
     int reward_failures = 0;
+    /// Reward calls without a usable response.
+    int broken_rewards = 0;
     /// Consecutive unsuccessful runs since the last event.
     int runs_without_events = 0;
     time_point last_activity{};
@@ -242,6 +254,8 @@
                                                        std::size_t max_bytes) const;
   static void discard_text(tracked_item& it);
   void finish(std::size_t n, item_state outcome, time_point now);
+  /// Delay after an unsuccessful run or reward call that followed other ones.
+  [[nodiscard]] duration retry_delay(int earlier_failures) const;
   void schedule_retry(tracked_item& it, std::string_view endpoint, time_point now);
   [[nodiscard]] bool is_worth_saving(const tracked_item& it) const;
   [[nodiscard]] std::optional<double> mean_interval(const tracked_item& it) const;
--- a/tests/jobs/job_run_test.cpp
+++ b/tests/jobs/job_run_test.cpp
@@ -143,6 +143,30 @@
       run.reward_ended(0, reward_outcome::broken, "", 4, start);
       CHECK(run.next_reward(start + seconds(1)) == 0);
     }
+    SECTION("a reward call that never gets its answer is repeated about once a second") {
+      // Guards against an endpoint whose answers never match: it got the same call fifteen times a
+      // second.
+      int sent = 1;
+      for (time_point now = start; now < start + seconds(20); now += milliseconds(10)) {
+        run.reward_ended(0, reward_outcome::broken, "", 4, now);
+        if (run.next_reward(now)) {
+          run.reward_started(0);
+          ++sent;
+        }
+      }
+      // Twenty, and a few before the pause has grown.
+      CHECK(sent <= 26);
+    }
+    SECTION("a reward call that an endpoint refuses is repeated soon") {
+      // A full service has places again within milliseconds.
+      time_point now = start;
+      for (int n = 0; n < 20; ++n) {
+        run.reward_ended(0, reward_outcome::not_run, "", 4, now);
+        now += milliseconds(50);
+        REQUIRE(run.next_reward(now) == 0);
+        run.reward_started(0);
+      }
+    }
     SECTION("a reward call that always fails terminates the item after its route's max attempts") {
       // Guards against applying the max_attempts of the job's own route (3), which would terminate
       // the item too early.
