--- a/tests/crowd/ending_body_crowd_test.cpp
+++ b/tests/crowd/ending_body_crowd_test.cpp
@@ -61,6 +61,18 @@
          body;
 }
 
+/// A job of many items that are as small as they can be.
+std::string job_of_small_items(const std::string& id, std::size_t bytes) {
+  std::string body = R"({"step":0,"model":"m","min_version":1,"items":[)";
+  body.reserve(bytes + body.size());
+  for (std::size_t n = 0; body.size() < bytes; ++n) {
+    body += fmt::format(R"({}{{"id":"i{}","path":"/jobs/x","body":""}})", n == 0 ? "" : ",", n);
+  }
+  body += "]}";
+  return request_head("POST", "/jobs/x", id, fmt::format("Content-Length: {}\r\n", body.size())) +
+         body;
+}
+
 } // namespace
 
 // Guards against copies of whole bodies, one for each try at an endpoint, that nothing limits.
@@ -165,6 +177,19 @@
   it.check_holds(at);
 }
 
+// Guards against items that take many times their text, as parsed, as run and as stored.
+TEST_CASE("jobs with as many items as are taken arrive at once", "[jobs_of_small_items]") {
+  crowd_fixture it;
+  crowd_instance& at = it.start("first");
+  std::size_t bytes = job_bytes;
+  for (std::size_t n = 0; n < ending_count; ++n) {
+    it.add_caller(at.callers, job_of_small_items(fmt::format("job-{}", n), bytes), true);
+    bytes /= n % 2 == 0 ? 1 : 2;
+  }
+  it.let_crowd_act();
+  it.check_holds(at);
+}
+
 TEST_CASE("whole jobs stop one byte short and then end together", "[ending_jobs]") {
   crowd_fixture it;
   crowd_instance& at = it.start("first");
