Send the body of a request to endpoints without copying it

Callers saw: a process ran out of memory when a few large bodies of legal size ended together.

Cause: each try at an endpoint copied the body into its message. A body that has arrived cannot be ended by the budget of bytes any more, so the copies came on top of what the budget allows. The forwarding for another instance made two copies, that of calls to the store one.

Change: a request may carry a shared body, and the output of a connection refers to its bytes. The exchange that it came with counts them once.

--- a/libs/http1/client_connection.cpp
+++ b/libs/http1/client_connection.cpp
@@ -93,7 +93,10 @@
 }
 
 void client_connection::on_output(evbuffer* output, const evbuffer_cb_info* /*info*/, void* self) {
-  static_cast<client_connection*>(self)->output_account_.set(evbuffer_get_length(output));
+  auto& it = *static_cast<client_connection*>(self);
+  // A shared body is counted by the exchange that it came with.
+  const std::size_t length = evbuffer_get_length(output);
+  it.output_account_.set(length - std::min(length, it.shared_bytes_));
 }
 
 void client_connection::start(call_spec spec, call_callbacks callbacks) {
@@ -158,15 +161,22 @@
   for (const auto& [name, value] : it.headers) {
     head += fmt::format("{}: {}\r\n", name, value);
   }
-  if (!it.body.empty() || it.method == "POST" || it.method == "PUT") {
-    head += fmt::format("Content-Length: {}\r\n", it.body.size());
+  const std::size_t size = it.shared_body ? it.shared_body->size() : it.body.size();
+  if (size > 0 || it.method == "POST" || it.method == "PUT") {
+    head += fmt::format("Content-Length: {}\r\n", size);
   }
   head += "\r\n";
   if (it.method == "HEAD") {
     parser_->expect_no_body();
   }
   bufferevent_write(bev_, head.data(), head.size());
-  write_body(bev_, std::move(it.body));
+  if (it.shared_body) {
+    shared_bytes_ = size;
+    write_body(bev_, it.shared_body);
+  } else {
+    shared_bytes_ = 0;
+    write_body(bev_, std::move(it.body));
+  }
   bufferevent_enable(bev_, EV_READ | EV_WRITE);
   timer_.start_once(spec_.progress_timeout);
   if (!callbacks_.on_data) {
--- a/libs/http1/client_connection.h
+++ b/libs/http1/client_connection.h
@@ -81,6 +81,8 @@
   call_callbacks callbacks_;
   response response_;
   std::size_t body_bytes_ = 0;
+  /// Bytes of the request's body, if it is shared.
+  std::size_t shared_bytes_ = 0;
   /// Bytes of the call's responses that were not of a body.
   std::size_t head_bytes_ = 0;
   int skipped_responses_ = 0;
--- a/libs/http1/exchange.cpp
+++ b/libs/http1/exchange.cpp
@@ -17,6 +17,13 @@
   }
 }
 
+void exchange::share_body() {
+  if (!received_.shared_body) {
+    received_.shared_body =
+        std::make_shared<const std::string>(std::exchange(received_.body, std::string()));
+  }
+}
+
 bool exchange::is_open() const {
   return !done_ && !connection_.expired();
 }
--- a/libs/http1/exchange.h
+++ b/libs/http1/exchange.h
@@ -32,6 +32,8 @@
     release_memory(received_.body);
     account_->set(0);
   }
+  /// Lets the request's body be sent on without a copy: it becomes `received().shared_body`.
+  void share_body();
   /// Address of the caller, for logs.
   [[nodiscard]] const std::string& peer() const { return peer_; }
 
--- a/libs/http1/message.h
+++ b/libs/http1/message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,6 +17,8 @@
   std::string target = "/";
   net::headers headers;
   std::string body;
+  /// Sent in the place of `body`, without a copy for each message that carries it.
+  std::shared_ptr<const std::string> shared_body{};
 };
 
 struct response {
--- a/libs/instance/endpoint_calls.cpp
+++ b/libs/instance/endpoint_calls.cpp
@@ -409,8 +409,9 @@
 
 void endpoint_calls::forward(const std::shared_ptr<http1::exchange>& from,
                              const forward_target& to) {
+  from->share_body();
   const http1::request& received = from->received();
-  http1::request message{received.method, received.target, {}, received.body};
+  http1::request message{received.method, received.target, {}, {}, received.shared_body};
   for (const auto& [name, value] : received.headers) {
     if (!http1::is_hop_by_hop(name) && !is_relay_header(name)) {
       message.headers.emplace_back(name, value);
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -84,6 +84,7 @@
                                                           permit_wait_share)) {}
 
   void start() {
+    exchange_->share_body();
     exchange_->on_left([self = weak_from_this()] {
       if (const auto it = self.lock()) {
         it->on_caller_disconnected();
--- a/libs/instance/relay_listener.cpp
+++ b/libs/instance/relay_listener.cpp
@@ -51,8 +51,12 @@
   http1::call_spec spec;
   spec.target = store_;
   spec.max_body_bytes = max_store_answer_bytes;
-  spec.message = {
-      exchange->received().method, exchange->received().target, {}, exchange->received().body};
+  exchange->share_body();
+  spec.message = {exchange->received().method,
+                  exchange->received().target,
+                  {},
+                  {},
+                  exchange->received().shared_body};
   for (const auto& [name, value] : exchange->received().headers) {
     if (!http1::is_hop_by_hop(name)) {
       spec.message.headers.emplace_back(name, value);
