Show jobs of many items beside bodies that do not end

Two bodies stop one byte short, and jobs of many small items follow, each smaller than the one before.

--- a/tests/crowd/ending_body_crowd_test.cpp
+++ b/tests/crowd/ending_body_crowd_test.cpp
@@ -190,6 +190,22 @@
   it.check_holds(at);
 }
 
+TEST_CASE("jobs of many items arrive beside bodies that stop one byte short",
+          "[small_items_beside_bodies]") {
+  crowd_fixture it;
+  crowd_instance& at = it.start("first");
+  it.add_callers(at.callers, 2,
+                 sized_head("sized", max_body_bytes) + std::string(max_body_bytes - 1, 'x'), true);
+  it.let_crowd_act();
+  for (std::size_t n = 0; n < ending_count; ++n) {
+    const std::size_t bytes = job_bytes * (ending_count - n) / ending_count / 2;
+    it.add_caller(at.callers, job_of_small_items(fmt::format("job-{}", n), bytes), true);
+    it.run(milliseconds(300));
+  }
+  it.let_crowd_act();
+  it.check_holds(at);
+}
+
 TEST_CASE("whole jobs stop one byte short and then end together", "[ending_jobs]") {
   crowd_fixture it;
   crowd_instance& at = it.start("first");
