Read and write jobs one item at a time, and count what their items take

Callers saw: a process ran out of memory from one job of legal size.

Cause: the text of a job became a document of all its values, and the job a second one for the store. Both were bounded by an estimate from the text, which counted neither elements of arrays nor what an item takes while it is run, and left out what others hold at that moment.

Change: job_text_reader builds the job as its text is parsed, skips what a job does not have and ends when the items take more than is left. Documents for the store and for other instances are written and read one item at a time (json_list). The test that refused a text by its number of members is replaced by the exact count, because such members take no memory any more.

--- a/libs/instance/job_peer.cpp
+++ b/libs/instance/job_peer.cpp
@@ -191,16 +191,16 @@
 }
 
 void job_peer::answer_submission(const std::shared_ptr<http1::exchange>& from) {
-  if (!handlers_.has_room(from->received().body)) {
+  const auto room = handlers_.room_for(from->received().body);
+  if (!room) {
     from->respond(error_response(refused, "no_memory", "the instance has no memory for the job now",
                                  executed::no));
     return;
   }
-  auto job = jobs::job_from_document(from->received().body);
+  auto job = jobs::job_from_document(from->received().body, *room);
   from->drop_body();
   if (!job) {
-    from->respond(
-        error_response(refused, "invalid_job", "the job document is invalid", executed::no));
+    from->respond(error_response(refused, "invalid_job", job.error().message, executed::no));
     return;
   }
   handlers_.submit(std::move(job).value(), [from](submit_outcome outcome) {
--- a/libs/instance/job_peer.h
+++ b/libs/instance/job_peer.h
@@ -42,8 +42,9 @@
     std::function<void(const std::string& job, std::size_t after, duration wait,
                        std::function<void(std::optional<job_listing>)> done)>
         read;
-    /// Whether a job document of another instance may be parsed now.
-    std::function<bool(std::string_view document)> has_room;
+    /// Most bytes that the items of another instance's job document may take; nothing if it may not
+    /// be parsed now.
+    std::function<std::optional<std::size_t>(std::string_view document)> room_for;
     std::function<void(jobs::job job, std::function<void(submit_outcome)> done)> submit;
     /// Ends a job that runs here. Passes false to `done` if it does not run here, or if its end
     /// could not be stored.
--- a/libs/instance/job_service.cpp
+++ b/libs/instance/job_service.cpp
@@ -53,9 +53,11 @@
                         std::function<void(std::optional<job_listing>)> done) {
                    read_here(job, after, wait, std::move(done));
                  },
-             .has_room =
+             .room_for =
                  [this](std::string_view document) {
-                   return judge_submission(document) == jobs::submission_verdict::accepted;
+                   return judge_submission(document) == jobs::submission_verdict::accepted
+                              ? std::optional(parsed_job_limit())
+                              : std::nullopt;
                  },
              .submit =
                  [this](jobs::job job, std::function<void(submit_outcome)> done) {
@@ -144,11 +146,19 @@
   return members_.members().assigned_member(fmt::format("{}/{}", route, step % concurrent_steps));
 }
 
-jobs::submission_verdict job_service::judge_submission(std::string_view text) const {
+jobs::memory_state job_service::memory() const {
   const http1::byte_budget& budget = *context_.budget;
-  return jobs::judge_submission(text, {.limit = budget.limit(),
-                                       .used = budget.used(),
-                                       .used_by_jobs = budget.used(http1::byte_use::job)});
+  return {.limit = budget.limit(),
+          .used = budget.used(),
+          .used_by_jobs = budget.used(http1::byte_use::job)};
+}
+
+jobs::submission_verdict job_service::judge_submission(std::string_view text) const {
+  return jobs::judge_submission(text, memory());
+}
+
+std::size_t job_service::parsed_job_limit() const {
+  return jobs::parsed_job_limit(memory());
 }
 
 std::shared_ptr<http1::byte_account> job_service::hold_memory(const jobs::job& job) const {
--- a/libs/instance/job_service.h
+++ b/libs/instance/job_service.h
@@ -44,6 +44,8 @@
   [[nodiscard]] bool is_stored(std::string_view job) const { return store_.find(job) != nullptr; }
   /// Whether a submitted job of this text, which is held already, may be parsed now.
   [[nodiscard]] jobs::submission_verdict judge_submission(std::string_view text) const;
+  /// See `jobs::parsed_job_limit`.
+  [[nodiscard]] std::size_t parsed_job_limit() const;
   /// Stores a job and starts to run it. Idempotent: a job that is already stored is reported as
   /// accepted.
   void submit(jobs::job job, std::function<void(submit_outcome)> done);
@@ -75,6 +77,7 @@
 
 private:
   struct submission;
+  [[nodiscard]] jobs::memory_state memory() const;
   /// Counts the bytes of a job until its submission has ended.
   [[nodiscard]] std::shared_ptr<http1::byte_account> hold_memory(const jobs::job& job) const;
   /// A pending read that waits for more results of a job that this instance runs.
--- a/libs/jobs/job_documents.cpp
+++ b/libs/jobs/job_documents.cpp
@@ -7,12 +7,15 @@
 #include "base/json.h"
 #include "base/json_binary.h"
 #include "base/json_fields.h"
+#include "base/json_list.h"
+#include "jobs/job_memory.h"
 
 namespace boragedoor::jobs {
 
 namespace {
 
 constexpr std::string_view key_prefix = "boragedoor/";
+constexpr std::string_view items_field = "items";
 /// Zero-padded width of positions, enough for the items of any job. The store sorts keys as text.
 constexpr int position_digits = 6;
 
@@ -98,34 +101,42 @@
 } // namespace
 
 std::string to_document(const job& contents) {
-  json items = json::array();
-  for (const job_item& one : contents.items) {
-    items.push_back(to_json(one));
-  }
-  return to_cbor({{"id", contents.id},
-                  {"workspace", contents.workspace},
-                  {"route", contents.route},
-                  {"host", contents.host},
-                  {"step", contents.step},
-                  {"minimum_version", contents.minimum_version},
-                  {"single_version", contents.single_version},
-                  {"desired_groups", contents.desired_groups},
-                  {"max_attempts", contents.max_attempts},
-                  {"submitted", to_microseconds(contents.submitted)},
-                  {"due", to_microseconds(contents.due)},
-                  {"give_up", to_microseconds(contents.give_up)},
-                  {"items", std::move(items)}});
+  const json fields = {{"id", contents.id},
+                       {"workspace", contents.workspace},
+                       {"route", contents.route},
+                       {"host", contents.host},
+                       {"step", contents.step},
+                       {"minimum_version", contents.minimum_version},
+                       {"single_version", contents.single_version},
+                       {"desired_groups", contents.desired_groups},
+                       {"max_attempts", contents.max_attempts},
+                       {"submitted", to_microseconds(contents.submitted)},
+                       {"due", to_microseconds(contents.due)},
+                       {"give_up", to_microseconds(contents.give_up)}};
+  std::string document;
+  append_cbor_list(document, fields, items_field, contents.items.size(),
+                   [&contents](std::size_t n) { return to_json(contents.items[n]); });
+  return document;
 }
 
-result<job> job_from_document(std::string_view document) {
-  const auto parsed = parse_cbor(document);
+result<job> job_from_document(std::string_view document, std::size_t max_bytes) {
+  job it;
+  std::size_t bytes = 0;
+  const auto parsed = parse_cbor_list(document, items_field, [&](const json& from) {
+    if (!read_item(from, it.items.emplace_back())) {
+      return false;
+    }
+    bytes += item_bytes(it.items.back());
+    return bytes <= max_bytes;
+  });
+  if (bytes > max_bytes) {
+    return error{error_code::overloaded, "the job takes more memory than there is"};
+  }
   if (!parsed) {
     return parsed.error();
   }
   const json& from = parsed.value();
-  job it;
   const auto attempts = integer_field(from, "max_attempts");
-  const json* items = array_field(from, "items");
   if (!read_field(from, "id", it.id) || !read_field(from, "workspace", it.workspace) ||
       !read_field(from, "route", it.route) || !read_field(from, "host", it.host) ||
       !read_field(from, "step", it.step) ||
@@ -133,16 +144,10 @@
       !read_field(from, "single_version", it.single_version) ||
       !read_field(from, "desired_groups", it.desired_groups) ||
       !read_time(from, "submitted", it.submitted) || !read_time(from, "due", it.due) ||
-      !read_time(from, "give_up", it.give_up) || !attempts || items == nullptr) {
+      !read_time(from, "give_up", it.give_up) || !attempts || !from.contains(items_field)) {
     return malformed_document("job");
   }
   it.max_attempts = static_cast<int>(*attempts);
-  it.items.resize(items->size());
-  for (std::size_t n = 0; n < items->size(); ++n) {
-    if (!read_item((*items)[n], it.items[n])) {
-      return malformed_document("job");
-    }
-  }
   return it;
 }
 
--- a/libs/jobs/job_documents.h
+++ b/libs/jobs/job_documents.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <limits>
 #include <span>
 #include <string>
 #include <string_view>
@@ -20,8 +21,10 @@
 std::string to_document(std::span<const item_result> results);
 std::string to_document(std::span<const item_progress> texts);
 
-/// Each of these fails with `protocol` if the document is malformed.
-result<job> job_from_document(std::string_view document);
+/// Each of these fails with `protocol` if the document is malformed. The first one fails with
+/// `overloaded` if the job's items take more than `max_bytes` (see `item_bytes`).
+result<job> job_from_document(std::string_view document,
+                              std::size_t max_bytes = std::numeric_limits<std::size_t>::max());
 result<job_record> record_from_document(std::string_view document);
 result<std::vector<item_result>> results_from_document(std::string_view document);
 result<std::vector<item_progress>> progress_from_document(std::string_view document);
--- a/libs/jobs/job_memory.cpp
+++ b/libs/jobs/job_memory.cpp
@@ -1,6 +1,7 @@
 #include "jobs/job_memory.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace boragedoor::jobs {
 
@@ -8,8 +9,11 @@
 
 /// Texts up to this size are judged by the room for jobs alone.
 constexpr std::size_t small_text_bytes = 64UL * 1024;
-/// Bytes of a parsed member of an object beyond its text: a node of a map, a key and a value.
-constexpr std::size_t parsed_member_bytes = 150;
+/// Bytes that an item takes while it is run, beside its contents: its state, its place in the order
+/// and its group.
+constexpr std::size_t run_state_bytes = 640;
+/// What the items of such a text may take in any case.
+constexpr std::size_t small_job_bytes = 2UL * 1024 * 1024;
 /// Part of the limit that jobs may take, so that bodies and responses find room as well.
 constexpr std::size_t job_share_divisor = 2;
 
@@ -20,22 +24,25 @@
 
 } // namespace
 
-std::size_t contents_bytes(const job& it) {
-  std::size_t bytes = sizeof(job);
-  for (const job_item& item : it.items) {
-    bytes += sizeof(job_item) + item.id.size() + item.path.size() + item.body.size() +
-             item.model.size() + item.group.size();
-    for (const auto& [name, value] : item.headers) {
-      bytes += sizeof(item.headers.front()) + name.size() + value.size();
-    }
-    if (item.reward) {
-      bytes += item.reward->id.size() + item.reward->host.size() + item.reward->path.size() +
-               item.reward->body.size();
-    }
+std::size_t item_bytes(const job_item& it) {
+  std::size_t bytes = sizeof(job_item) + run_state_bytes + it.id.size() + it.path.size() +
+                      it.body.size() + it.model.size() + it.group.size();
+  for (const auto& [name, value] : it.headers) {
+    bytes += sizeof(it.headers.front()) + name.size() + value.size();
+  }
+  if (it.reward) {
+    bytes += it.reward->id.size() + it.reward->host.size() + it.reward->path.size() +
+             it.reward->body.size();
   }
   return bytes;
 }
 
+std::size_t contents_bytes(const job& it) {
+  return std::accumulate(
+      it.items.begin(), it.items.end(), sizeof(job),
+      [](std::size_t sum, const job_item& item) { return sum + item_bytes(item); });
+}
+
 std::string_view to_string(submission_verdict it) {
   switch (it) {
   case submission_verdict::accepted:
@@ -60,13 +67,14 @@
   if (text.size() <= small_text_bytes) {
     return submission_verdict::accepted;
   }
-  const auto members = static_cast<std::size_t>(std::count(text.begin(), text.end(), ':'));
-  if (text.size() + contents + members * parsed_member_bytes > memory.limit) {
-    return submission_verdict::too_complex;
-  }
   const std::size_t others = memory.used - std::min(memory.used, text.size());
   return others + submission_bytes(contents) > memory.limit ? submission_verdict::no_room
                                                             : submission_verdict::accepted;
 }
 
+std::size_t parsed_job_limit(const memory_state& memory) {
+  const std::size_t free = memory.limit - std::min(memory.limit, memory.used);
+  return std::max(free, small_job_bytes);
+}
+
 } // namespace boragedoor::jobs
--- a/libs/jobs/job_memory.h
+++ b/libs/jobs/job_memory.h
@@ -7,7 +7,8 @@
 
 namespace boragedoor::jobs {
 
-/// Bytes that the contents of a job take while it is run.
+/// Bytes that an item takes while its job is run, and those of all items of a job.
+std::size_t item_bytes(const job_item& it);
 std::size_t contents_bytes(const job& it);
 
 /// Bytes that the process holds and may hold, at the moment of a submission.
@@ -20,7 +21,7 @@
 
 enum class submission_verdict {
   accepted,
-  /// Parsing the text would take more than the process may hold.
+  /// Its items take more than the process may hold.
   too_complex,
   /// The jobs in progress leave no room.
   no_room,
@@ -35,6 +36,10 @@
 /// for the store and is run for minutes.
 submission_verdict judge_submission(std::string_view text, const memory_state& memory);
 
+/// Most bytes that the items of a submitted job may take while its text is held as well, for which
+/// `memory.used` stands. Many small items take many times their text.
+std::size_t parsed_job_limit(const memory_state& memory);
+
 /// Bytes that a job takes while the store has not confirmed it: its contents, the document and the
 /// text in which it is sent.
 std::size_t submission_bytes(std::size_t contents);
--- a/tests/platform/job_codec_test.cpp
+++ b/tests/platform/job_codec_test.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 
 #include "base/json.h"
+#include "jobs/job_documents.h"
+#include "jobs/job_memory.h"
 
 namespace boragedoor::platform {
 
@@ -77,12 +79,79 @@
   SECTION("with a header that would start another one") {
     submission["items"][0]["headers"]["X"] = "a\r\nTenant: other";
   }
+  SECTION("with an item that is no object") {
+    submission["items"].push_back(GENERATE(json(1), json("i"), json::array(), json(nullptr)));
+  }
+  SECTION("with an id, a path or a body of another type") {
+    submission["items"][0][GENERATE("id", "path", "body")] =
+        GENERATE(json(1), json::array({"a"}), json(nullptr), json::object());
+  }
+  SECTION("with a header that is no text") {
+    submission["items"][0]["headers"]["X"] = GENERATE(json(1), json::array(), json::object());
+  }
+  SECTION("with a reward call of another type") {
+    submission["items"][0]["scorer_url"] =
+        GENERATE(json(1), json("/s"), json(nullptr), json::array());
+  }
+  SECTION("with deep nesting") {
+    json deep;
+    for (std::size_t n = 0; n < max_json_depth; ++n) {
+      deep = json::array({deep});
+    }
+    submission["deep"] = deep;
+  }
+  SECTION("with items that are no list") {
+    submission["items"] = submission["items"][0];
+  }
   SECTION("with a reward call without a host") {
     submission["items"][0]["scorer_url"].erase("host");
   }
   CHECK_FALSE(read_job(to_text(submission), "j", "north", make_route(), morning));
 }
 
+// Guards against a job of legal size that takes many times its text while it is read.
+TEST_CASE("fields that a job does not have are skipped") {
+  json submission = make_submission();
+  const json plain = submission;
+  const json others = {1, -2, 3.5, "text", nullptr, true, {{"id", "x"}, {"items", {1}}}, {{1}, {}}};
+  SECTION("of the job") {
+    submission["numbers"] = others;
+    submission["more"] = {{"items", others}, {"id", 5}, {"step", 9}};
+  }
+  SECTION("of an item") {
+    submission["items"][0]["numbers"] = others;
+    submission["items"][0]["more"] = {{"id", 5}, {"headers", others}, {"path", "/other"}};
+  }
+  SECTION("of a reward call") {
+    submission["items"][0]["scorer_url"]["numbers"] = others;
+    submission["items"][0]["scorer_url"]["more"] = {{"id", 5}, {"path", "/other"}};
+  }
+  const auto expected = read_job(to_text(plain), "j", "north", make_route(), morning);
+  const auto read = read_job(to_text(submission), "j", "north", make_route(), morning);
+  REQUIRE(read);
+  CHECK(jobs::to_document(read.value()) == jobs::to_document(expected.value()));
+}
+
+TEST_CASE("a job whose items take more memory than there is is refused as it is read") {
+  json submission = make_submission();
+  json item = {{"id", "i"}, {"path", "/"}, {"body", ""}};
+  constexpr std::size_t count = 1000;
+  submission["items"] = json::array();
+  for (std::size_t n = 0; n < count; ++n) {
+    submission["items"].push_back(item);
+  }
+  jobs::job_item one;
+  one.id = "i";
+  one.path = "/";
+  one.group = "i";
+  const std::size_t bytes = count * jobs::item_bytes(one);
+  CHECK(read_job(to_text(submission), "j", "north", make_route(), morning, bytes));
+  const auto refused =
+      read_job(to_text(submission), "j", "north", make_route(), morning, bytes - 1);
+  REQUIRE_FALSE(refused);
+  CHECK(refused.error().code == error_code::overloaded);
+}
+
 // Guards against a text of a job that reaches an endpoint as a second request or as header fields,
 // and against an id that no response can repeat.
 TEST_CASE("a job is refused if a text of it cannot stand in a request as it is") {
