Refuse responses whose status is none

Callers saw: an answer with the status 600 or 999 was passed on, and one with 000 made them wait until their deadline. Items were given up early after answers with 600.

Cause: the parsing library reads a status of any length as a number. The client took every number under 200 for an interim response, and every other one for an answer.

Change: the parser refuses a response whose status has not three digits with the first from 1 to 5, and a switch of the protocol. The call ends as malformed with the head; the endpoint may have run the request, so it is tried elsewhere only if it may be repeated.

The parser reads all responses: of endpoints, other instances and the store.

--- a/libs/http1/parser.cpp
+++ b/libs/http1/parser.cpp
@@ -8,6 +8,28 @@
 
 namespace boragedoor::http1 {
 
+namespace {
+
+/// Length of the start of a response up to the character behind its status.
+constexpr std::size_t status_end = 13;
+
+/// Whether the start of a response states a status: three digits, the first of them from 1 to 5
+/// (RFC 9110, 15). The library reads numbers of other lengths too.
+bool states_status(std::string_view start) {
+  constexpr std::size_t status_at = 9;
+  constexpr std::size_t digits = 3;
+  if (start.size() < status_end || start[status_at - 1] != ' ') {
+    return false;
+  }
+  const std::string_view status = start.substr(status_at, digits);
+  const char next = start[status_at + digits];
+  return status.front() >= '1' && status.front() <= '5' &&
+         status.find_first_not_of("0123456789") == std::string_view::npos &&
+         (next == ' ' || next == '\r' || next == '\n');
+}
+
+} // namespace
+
 struct parser::impl {
   http_parser state{};
   http_parser_settings settings{};
@@ -17,6 +39,22 @@
   bool in_value = false;
   bool no_body = false;
   bool refused = false;
+  /// Start of the response that is being parsed.
+  std::string start;
+
+  void note_start(std::string_view data) {
+    while (start.empty() && !data.empty() && (data.front() == '\r' || data.front() == '\n')) {
+      data.remove_prefix(1);
+    }
+    start += data.substr(0, status_end - start.size());
+  }
+
+  /// Whether a response can be the answer to a request, or an interim one before it.
+  [[nodiscard]] bool is_answer(int status) const {
+    // Nobody asks for another protocol.
+    constexpr int switching_protocols = 101;
+    return states_status(start) && status != switching_protocols;
+  }
 
   static impl& of(http_parser* it) { return *static_cast<impl*>(it->data); }
 
@@ -56,6 +94,10 @@
     impl& self = of(it);
     message_head& head = self.head;
     head.status = static_cast<int>(it->status_code);
+    if (self.kind == message_kind::response && !self.is_answer(head.status)) {
+      self.refused = true;
+      return refuse;
+    }
     if (self.kind == message_kind::request) {
       head.method = http_method_str(static_cast<http_method>(it->method));
       if (!is_valid_target(head.target)) {
@@ -86,6 +128,7 @@
   static int on_complete(http_parser* it) {
     impl& self = of(it);
     self.no_body = false;
+    self.start.clear();
     http_parser_pause(it, 1);
     if (self.events.on_complete) {
       self.events.on_complete();
@@ -115,6 +158,9 @@
   if (HTTP_PARSER_ERRNO(&impl_->state) == HPE_PAUSED) {
     http_parser_pause(&impl_->state, 0);
   }
+  if (impl_->kind == message_kind::response) {
+    impl_->note_start(data);
+  }
   return http_parser_execute(&impl_->state, &impl_->settings, data.data(), data.size());
 }
 
@@ -135,7 +181,7 @@
 
 std::string parser::error_text() const {
   if (impl_->refused) {
-    return "the target or the header fields are ambiguous or not allowed";
+    return "the start line or the header fields are ambiguous or not allowed";
   }
   return http_errno_description(HTTP_PARSER_ERRNO(&impl_->state));
 }
--- /dev/null
+++ b/tests/http1/parser_test.cpp
@@ -0,0 +1,81 @@
+#include "http1/parser.h"
+
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+namespace boragedoor::http1 {
+
+namespace {
+
+struct parsed_responses {
+  std::vector<int> statuses;
+  bool failed = false;
+};
+
+/// Parses text that arrives in pieces of `piece` bytes.
+parsed_responses parse_responses(std::string_view text, std::size_t piece) {
+  parsed_responses out;
+  parser it(message_kind::response, {.on_head =
+                                         [&](const message_head& head) {
+                                           out.statuses.push_back(head.status);
+                                           return true;
+                                         },
+                                     .on_body = nullptr,
+                                     .on_complete = nullptr});
+  while (!text.empty() && !it.failed()) {
+    std::string_view next = text.substr(0, piece);
+    text.remove_prefix(next.size());
+    while (!next.empty() && !it.failed()) {
+      next.remove_prefix(it.feed(next));
+    }
+  }
+  out.failed = it.failed();
+  return out;
+}
+
+} // namespace
+
+// Guards against a response of a server in trouble that is taken for an interim one, so that its
+// caller waits for another one, or that is passed on with a status that is none.
+TEST_CASE("a status has three digits, the first of them from 1 to 5") {
+  const std::size_t piece = GENERATE(1UL, 2UL, 3UL, 5UL, 7UL, 100UL);
+  INFO("pieces of " << piece);
+  const auto with_status = [](std::string_view status) {
+    return "HTTP/1.1 " + std::string(status) + "\r\nContent-Length: 2\r\n\r\nok";
+  };
+
+  SECTION("other ones are refused with the head") {
+    const std::string status =
+        GENERATE("000 Trouble", "001 Trouble", "099 Trouble", "600 Trouble", "999 Trouble", "000",
+                 "20 OK", "2 OK", "0200 OK", "00200 OK", "2000 OK", "2x0 OK", "-20 OK", " 200 OK");
+    INFO(status);
+    const auto out = parse_responses(with_status(status), piece);
+    CHECK(out.failed);
+    CHECK(out.statuses.empty());
+    SECTION("also after sound responses") {
+      const auto later = parse_responses(
+          with_status("200 OK") + "HTTP/1.1 103 Early\r\n\r\n" + with_status(status), piece);
+      CHECK(later.failed);
+      CHECK(later.statuses == std::vector<int>{200, 103});
+    }
+  }
+
+  SECTION("all others are read") {
+    const int status = GENERATE(100, 103, 199, 200, 404, 500, 599);
+    const std::string text = GENERATE("", " ", " Some reason", " 000");
+    INFO(status << text);
+    const auto out = parse_responses(with_status(std::to_string(status) + text), piece);
+    CHECK_FALSE(out.failed);
+    CHECK(out.statuses == std::vector<int>{status});
+  }
+
+  SECTION("a switch to another protocol is refused") {
+    CHECK(parse_responses("HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+                          piece)
+              .failed);
+  }
+}
+
+} // namespace boragedoor::http1
