Count header fields as they are held, and drop trailer fields

Callers saw: a process ran out of memory from requests inside all limits whose fields are small, or from chunked bodies that stop in their trailer fields.

Cause: a field of three bytes takes 66 as it is held, and none of it was counted. The parser kept the fields of the head a second time, and those behind a body, until its next message. An exchange that was passed on just as it was to be ended stayed out of the account for good.

Change: the parser keeps nothing of a head that it has reported and drops trailer fields. The account of a request starts with what its fields take. A request that is complete while too much is held is refused with 503, unless it takes less than 4 KiB. An exchange that is kept counts again.

--- a/libs/http1/byte_budget.cpp
+++ b/libs/http1/byte_budget.cpp
@@ -38,7 +38,7 @@
     accounts_.insert(&account);
   }
   peak_ = std::max(peak_, used_);
-  if (grows && used_ - ending_ > limit_) {
+  if (grows && is_exceeded()) {
     end_largest();
   }
 }
@@ -47,7 +47,7 @@
   const auto order = [](const byte_account* it) {
     return std::pair(!it->length_known_, it->bytes_);
   };
-  while (used_ - ending_ > limit_) {
+  while (is_exceeded()) {
     byte_account* largest = nullptr;
     for (byte_account* const it : accounts_) {
       if (it->end_ && !it->ending_ && (largest == nullptr || order(largest) < order(it))) {
@@ -79,6 +79,13 @@
   set(0);
 }
 
+void byte_account::keep() {
+  end_ = nullptr;
+  if (std::exchange(ending_, false)) {
+    budget_->ending_ -= bytes_;
+  }
+}
+
 void byte_account::set(std::size_t bytes) {
   if (bytes != bytes_) {
     budget_->change(*this, bytes);
--- a/libs/http1/byte_budget.h
+++ b/libs/http1/byte_budget.h
@@ -70,6 +70,9 @@
     return bytes <= small_message_bytes || (kept <= limit_ && bytes <= limit_ - kept);
   }
 
+  /// Whether more is held than allowed, beside what is being ended.
+  [[nodiscard]] bool is_exceeded() const { return used_ - ending_ > limit_; }
+
   /// Emitted for each exchange that is ended.
   sigc::signal<void(const ended_exchange&)> exchange_ended;
 
@@ -109,7 +112,9 @@
   /// States whether the length of the message is known in advance.
   void set_length_known(bool known) { length_known_ = known; }
   /// Keeps the exchange from being ended.
-  void keep() { end_ = nullptr; }
+  void keep();
+  /// Whether the exchange is to be ended.
+  [[nodiscard]] bool is_ending() const { return ending_; }
 
 private:
   friend class byte_budget;
--- a/libs/http1/client_connection.cpp
+++ b/libs/http1/client_connection.cpp
@@ -177,6 +177,8 @@
     shared_bytes_ = 0;
     write_body(bev_, std::move(it.body));
   }
+  // Its fields would be held for as long as the response takes.
+  it = {};
   bufferevent_enable(bev_, EV_READ | EV_WRITE);
   timer_.start_once(spec_.progress_timeout);
   if (!callbacks_.on_data) {
--- a/libs/http1/parser.cpp
+++ b/libs/http1/parser.cpp
@@ -1,5 +1,6 @@
 #include "http1/parser.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <http_parser.h>
@@ -39,6 +40,8 @@
   bool in_value = false;
   bool no_body = false;
   bool refused = false;
+  /// Whether the head was reported. Fields that follow it are trailer fields, which are dropped.
+  bool head_done = false;
   /// Start of the response that is being parsed.
   std::string start;
 
@@ -60,6 +63,7 @@
 
   static int on_begin(http_parser* it) {
     of(it).head = {};
+    of(it).head_done = false;
     of(it).in_value = false;
     return 0;
   }
@@ -69,6 +73,9 @@
   }
   static int on_field(http_parser* it, const char* at, std::size_t n) {
     impl& self = of(it);
+    if (self.head_done) {
+      return 0;
+    }
     if (self.in_value || self.head.headers.empty()) {
       self.head.headers.emplace_back();
       self.in_value = false;
@@ -78,8 +85,7 @@
   }
   static int on_value(http_parser* it, const char* at, std::size_t n) {
     impl& self = of(it);
-    // Trailer fields arrive after the head was reported; they are dropped.
-    if (self.head.headers.empty()) {
+    if (self.head_done) {
       return 0;
     }
     self.in_value = true;
@@ -107,14 +113,14 @@
     }
     head.keep_alive = http_should_keep_alive(it) != 0;
     head.has_length = (it->flags & (F_CONTENTLENGTH | F_CHUNKED)) != 0;
-    for (const auto& [name, value] : head.headers) {
-      if (!is_valid_header(name, value)) {
-        self.refused = true;
-        return refuse;
-      }
-    }
-    if (self.events.on_head && !self.events.on_head(head)) {
-      self.refused = true;
+    const bool valid = std::all_of(head.headers.begin(), head.headers.end(), [](const auto& field) {
+      return is_valid_header(field.first, field.second);
+    });
+    self.refused = !valid || (self.events.on_head && !self.events.on_head(head));
+    self.head_done = true;
+    // The owner keeps what it needs of the head for as long as the body takes.
+    head.headers = net::headers();
+    if (self.refused) {
       return refuse;
     }
     return self.no_body ? skip_body : parse_body;
--- a/libs/http1/server_connection.cpp
+++ b/libs/http1/server_connection.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <numeric>
 #include <utility>
 
 #include <event2/buffer.h>
@@ -34,6 +35,18 @@
 constexpr std::array<std::string_view, 4> single_headers = {"host", "authorization",
                                                             "content-length", "transfer-encoding"};
 
+/// Requests up to this size wait for an endpoint also if the process holds too many bytes.
+constexpr std::size_t ordinary_request_bytes = 4UL * 1024;
+
+/// Bytes that a request's head takes once it is parsed, and once more in the request to an endpoint
+/// until that is written. Small fields take many times their text.
+std::size_t head_bytes(const request& it) {
+  return 2 * std::accumulate(it.headers.begin(), it.headers.end(), it.target.size(),
+                             [](std::size_t sum, const auto& field) {
+                               return sum + sizeof field + field.first.size() + field.second.size();
+                             });
+}
+
 bool repeats_single_header(const net::headers& list) {
   return std::any_of(single_headers.begin(), single_headers.end(), [&](std::string_view name) {
     return std::count_if(list.begin(), list.end(),
@@ -54,7 +67,7 @@
                .on_body =
                    [this](std::string_view data) {
                      request_.body.append(data);
-                     input_account_->set(request_.body.size());
+                     input_account_->set(head_bytes_ + request_.body.size());
                    },
                .on_complete = [this] { message_done_ = true; }}),
       timer_(loop, [this] { on_timeout(); }), idle_since_(loop.now()),
@@ -192,14 +205,16 @@
     refusal_text_ = too_large_text;
     return false;
   }
-  if (!shared_->budget->has_room_for(size)) {
+  request_ = {head.method, head.target, head.headers, {}};
+  head_bytes_ = head_bytes(request_);
+  if (!shared_->budget->has_room_for(head_bytes_ + size)) {
     refusal_ = 503;
     refusal_text_ = out_of_memory_text;
     return false;
   }
-  request_ = {head.method, head.target, head.headers, {}};
   request_.body.reserve(size);
   input_account_->set_length_known(length.has_value());
+  input_account_->set(head_bytes_);
   keep_alive_ = head.keep_alive;
   if (has_token(net::find_header(head.headers, "Expect"), "100-continue")) {
     constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -234,6 +249,11 @@
 }
 
 void server_connection::dispatch() {
+  if (input_account_->bytes() > ordinary_request_bytes &&
+      (input_account_->is_ending() || shared_->budget->is_exceeded())) {
+    refuse(503, out_of_memory_text);
+    return;
+  }
   phase_ = phase::answering;
   head_started_ = false;
   timer_.cancel();
@@ -251,7 +271,7 @@
   phase_ = phase::answering;
   timer_.cancel();
   is_refused_ = true;
-  release_memory(request_.body);
+  request_ = {};
   input_account_->set(0);
   evbuffer* input = bufferevent_get_input(bev_);
   evbuffer_drain(input, evbuffer_get_length(input));
--- a/libs/http1/server_connection.h
+++ b/libs/http1/server_connection.h
@@ -105,6 +105,8 @@
   phase phase_ = phase::head;
   bool head_started_ = false;
   request request_;
+  /// Bytes that the head of `request_` takes.
+  std::size_t head_bytes_ = 0;
   bool keep_alive_ = true;
   bool message_done_ = false;
   /// Whether a request was refused before all of it had arrived.
--- a/tests/http1/byte_budget_test.cpp
+++ b/tests/http1/byte_budget_test.cpp
@@ -52,6 +52,21 @@
     CHECK(budget->used(byte_use::response_body) == 400'000);
   }
 
+  SECTION("and one that is kept at that moment counts again") {
+    // Guards against a request that is passed on just as it is to be ended: its bytes would be left
+    // out of the account for as long as an endpoint has it.
+    larger.account.set(700'000);
+    CHECK(larger.account.is_ending());
+    CHECK_FALSE(budget->is_exceeded());
+    larger.account.keep();
+    CHECK(budget->is_exceeded());
+    run_once(*loop);
+    CHECK(larger.ended == 0);
+    larger.account.set(0);
+    CHECK_FALSE(budget->is_exceeded());
+    CHECK(budget->has_room_for(limit - 401'000));
+  }
+
   SECTION("the largest beyond it, and the others go on") {
     larger.account.set(700'000);
     CHECK(larger.ended == 0);
