Release what a cancelled call refers to

Cause: the call of endpoint_calls holds the connection that carries it. A cancelled connection released its callbacks, but not its specification, whose may_send refers to that call.

Change: both are released.

--- a/libs/http1/client_connection.cpp
+++ b/libs/http1/client_connection.cpp
@@ -354,8 +354,10 @@
 void client_connection::cancel() {
   if (active_) {
     active_ = false;
-    // The callbacks may be what is running now, so they are released later.
-    loop_.post([keep = shared_from_this(), callbacks = std::exchange(callbacks_, {})] {});
+    // The callbacks may be what is running now, so they are released later. The owner of the call
+    // may hold it, and they and the specification the owner.
+    loop_.post([keep = shared_from_this(), callbacks = std::exchange(callbacks_, {}),
+                spec = std::exchange(spec_, {})] {});
     retire();
   }
 }
--- a/tests/http1/client_test.cpp
+++ b/tests/http1/client_test.cpp
@@ -105,6 +105,28 @@
     }
   }
 
+  SECTION("a cancelled call keeps nothing of its owner") {
+    // Guards against a process that grows with each caller that leaves: what a call asks before it
+    // is written, and what it reports to, refer to its owner, which refers to the call.
+    answer.clear();
+    struct owner_of_call {
+      std::shared_ptr<class call> open;
+    };
+    const bool connected = GENERATE(false, true);
+    auto owner = std::make_shared<owner_of_call>();
+    const std::weak_ptr<owner_of_call> left = owner;
+    spec.may_send = [owner] { return owner != nullptr; };
+    callbacks.on_end = [owner](call_outcome, const response&) {};
+    owner->open = calls.send(std::exchange(spec, {}), std::exchange(callbacks, {}));
+    if (connected) {
+      REQUIRE(loop->run_until([&] { return !server.connections.empty(); }, patience));
+    }
+    owner->open->cancel();
+    owner.reset();
+    loop->run_until([&] { return left.expired(); }, seconds(1));
+    CHECK(left.expired());
+  }
+
   SECTION("a connection carries only one call with a response id") {
     // Guards against a late copy of a response that is taken for the response to the next run of
     // the same request.
