--- a/tests/platform/request_injection_test.cpp
+++ b/tests/platform/request_injection_test.cpp
@@ -58,6 +58,21 @@
 
 } // namespace
 
+// Guards against the id of a job that names keys of the store beside its own.
+TEST_CASE("a job whose id cannot be part of a key is refused") {
+  platform_fixture it;
+  it.start_engine();
+  const std::string id =
+      GENERATE(as<std::string>(), R"(j","value":"eA=="},{"key":"boragedoor/jobs/other)",
+               "other/000004", "j\\u0061", "j j", "j\xc3\xa9", std::string(200, 'j'));
+  INFO(id);
+  CHECK(it.call(*it.first, "POST", "/jobs/x", to_text(make_job()), "key-n", id).status == 400);
+  CHECK(it.store.keys("boragedoor/jobs/").empty());
+  CHECK(it.store.keys("boragedoor/contents/").empty());
+  const std::string longest(128, 'j');
+  CHECK(it.call(*it.first, "POST", "/jobs/x", to_text(make_job()), "key-n", longest).status == 202);
+}
+
 // Guards against a second request inside a text of a job, which would run under the name of another
 // workspace.
 TEST_CASE("a job with a request inside one of its texts") {
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -52,6 +52,22 @@
     CHECK(read("b").status == store_status::ok);
   }
 
+  SECTION("a key is one text, whatever it holds") {
+    // Guards against an id of a caller that ends the text of its key, so that the rest of it is
+    // read as further changes.
+    const std::string key = R"(a","value":"","lease":0},{"key":"other","value":"eA==)";
+    const std::string removed = R"(b","other)";
+    store.put("other", 1);
+    const auto before = read("other").item.revision;
+    CHECK(commit({.expected = {{key, 0}}, .puts = {{key, "x", 0}}, .removed = {}}).status ==
+          store_status::ok);
+    CHECK(store.has(key));
+    CHECK(read(key).item.value == "x");
+    CHECK(commit({.expected = {}, .puts = {{"c", "y", 0}}, .removed = {removed}}).status ==
+          store_status::ok);
+    CHECK(read("other").item.revision == before);
+  }
+
   SECTION("a prefix is listed page by page and watched from there") {
     for (int n = 0; n < 5; ++n) {
       store.put("p/" + std::to_string(n), n);
