Remember the ids of a connection's last two calls only

Cause: a connection remembered all ids that it had carried. A request that a busy service refuses is sent again every 50 ms and soon found no connection that had not carried its id.

Change: a connection remembers two. A late copy of a response arrives in the place of the next response, so after one other call it has come.

Also: a refused request frees its body again.

--- a/libs/http1/call.h
+++ b/libs/http1/call.h
@@ -52,8 +52,9 @@
   /// Never uses a kept connection: a server may close one just as the request is sent, and then it
   /// is not known whether the request ran.
   bool new_connection = false;
-  /// Id that the response repeats; empty if it has none. A connection that has carried a call with
-  /// the same id is not used: a late copy of that call's response would be taken for this one's.
+  /// Id that the response repeats; empty if it has none. A connection whose last calls include one
+  /// with the same id is not used: a late copy of that call's response would be taken for this
+  /// one's.
   std::string response_id{};
   /// Larger responses end the call as malformed.
   std::size_t max_body_bytes = 1024UL * 1024;
--- a/libs/http1/client_connection.cpp
+++ b/libs/http1/client_connection.cpp
@@ -33,9 +33,9 @@
 constexpr int probe_seconds = 1;
 constexpr int lost_probes = 2;
 
-/// Calls with a response id that a connection carries before it is closed, so that it can remember
-/// all their ids: 8 KiB.
-constexpr std::size_t max_carried = 1024;
+/// Calls whose response id a connection remembers. A late copy of a response arrives in the place
+/// of the next one; one call more is remembered.
+constexpr std::size_t remembered_calls = 2;
 
 void set_socket_options(evutil_socket_t fd) {
   constexpr int on = 1;
@@ -111,6 +111,9 @@
   message_done_ = false;
   too_large_ = false;
   if (!spec_.response_id.empty()) {
+    if (carried_.size() == remembered_calls) {
+      carried_.erase(carried_.begin());
+    }
     carried_.push_back(hash64(spec_.response_id));
   }
   if (!is_writable(spec_.message)) {
@@ -315,8 +318,8 @@
     return;
   }
   // Bytes beyond the response are of no request; such a connection is not used again.
-  const bool reusable = bev_ != nullptr && keep_alive_ && carried_.size() < max_carried &&
-                        evbuffer_get_length(bufferevent_get_input(bev_)) == 0;
+  const bool reusable =
+      bev_ != nullptr && keep_alive_ && evbuffer_get_length(bufferevent_get_input(bev_)) == 0;
   end(call_outcome::complete);
   if (!active_) {
     if (reusable) {
--- a/libs/http1/client_connection.h
+++ b/libs/http1/client_connection.h
@@ -41,7 +41,7 @@
   void close();
 
   [[nodiscard]] const net::address& target() const { return target_; }
-  /// Whether the connection has carried a call with this response id; false for an empty one.
+  /// Whether one of the connection's last calls had this response id; false for an empty one.
   [[nodiscard]] bool has_carried(std::string_view response_id) const;
   /// When the connection became idle, for its age.
   [[nodiscard]] time_point idle_since() const { return idle_since_; }
@@ -86,7 +86,7 @@
   /// Bytes of the call's responses that were not of a body.
   std::size_t head_bytes_ = 0;
   int skipped_responses_ = 0;
-  /// Hashes of the response ids of all calls.
+  /// Hashes of the response ids of the last calls.
   std::vector<std::uint64_t> carried_;
   bool active_ = false;
   bool connected_ = false;
--- a/libs/http1/server_connection.cpp
+++ b/libs/http1/server_connection.cpp
@@ -271,6 +271,8 @@
   phase_ = phase::answering;
   timer_.cancel();
   is_refused_ = true;
+  // An assignment keeps the memory of the body.
+  release_memory(request_.body);
   request_ = {};
   input_account_->set(0);
   evbuffer* input = bufferevent_get_input(bev_);
