--- a/tests/platform/invalid_status_test.cpp
+++ b/tests/platform/invalid_status_test.cpp
@@ -29,27 +29,14 @@
 
 private:
   void answer(http1::raw_connection& it) {
-    const auto head_end = it.received.find("\r\n\r\n");
-    if (head_end == std::string::npos) {
+    const std::string request = take_request(it);
+    if (request.empty()) {
       return;
     }
-    const std::string length = header_of(it.received, "Content-Length");
-    if (it.received.size() < head_end + 4 + (length.empty() ? 0 : std::stoul(length))) {
-      return;
-    }
-    const std::string id = header_of(std::exchange(it.received, {}), "Attempt-Id");
+    const std::string id = header_of(request, "Attempt-Id");
     if (id.empty()) {
       // A report, which is as it should be.
-      const std::string report =
-          to_text({{"stage", "both"},
-                   {"models", {{{"name", "m"}, {"version", 1}, {"adapters", json::array()}}}},
-                   {"busy", false},
-                   {"sequence", 0},
-                   {"queued", 0},
-                   {"running", 0},
-                   {"born", 1}});
-      it.send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
-              std::to_string(report.size()) + "\r\n\r\n" + report);
+      it.send(engine_report_message());
       return;
     }
     ++answered;
@@ -95,21 +82,8 @@
                                      {"service", "plain"}});
   it.store.put("op/config", configuration);
   const auto announce = [&](const std::string& service) {
-    json models = json::array();
-    if (service == "models") {
-      models.push_back({{"name", "m"}, {"version", 1}, {"adapters", json::array()}});
-    }
-    it.store.put("servers/raw", {{"service", service},
-                                 {"address", net::to_string(replica.address())},
-                                 {"zone", "z1"},
-                                 {"version", "v1"},
-                                 {"slots", 4},
-                                 {"state", "ready"},
-                                 {"cold_remaining_ms", 0},
-                                 {"stage", "both"},
-                                 {"models", models},
-                                 {"sequence", 1},
-                                 {"born", 1}});
+    announce_raw_replica(it.store, "raw", service, replica.address(), 4,
+                         service == "models" ? "m" : "");
     for (const auto* at : {&it.first, &it.second}) {
       REQUIRE(it.loop->run_until(
           [&] {
--- a/tests/platform/late_copy_test.cpp
+++ b/tests/platform/late_copy_test.cpp
@@ -30,21 +30,7 @@
       : first_(first), server_(loop, [this](http1::raw_connection& it) { answer(it); }) {}
 
   void announce(store_stand_in& store, const std::string& service, const std::string& model) const {
-    json models = json::array();
-    if (!model.empty()) {
-      models.push_back({{"name", model}, {"version", 1}, {"adapters", json::array()}});
-    }
-    store.put("servers/raw", {{"service", service},
-                              {"address", net::to_string(server_.address())},
-                              {"zone", "z1"},
-                              {"version", "v1"},
-                              {"slots", 4},
-                              {"state", "ready"},
-                              {"cold_remaining_ms", 0},
-                              {"stage", "both"},
-                              {"models", models},
-                              {"sequence", 1},
-                              {"born", 1}});
+    announce_raw_replica(store, "raw", service, server_.address(), 4, model);
   }
 
   /// Runs of requests with an id that were answered otherwise than `first_answer`.
@@ -55,27 +41,13 @@
 
 private:
   void answer(http1::raw_connection& it) {
-    const auto end = it.received.find("\r\n\r\n");
-    if (end == std::string::npos) {
-      return;
-    }
-    const std::string length = header_of(it.received, "Content-Length");
-    if (it.received.size() < end + 4 + (length.empty() ? 0 : std::stoul(length))) {
+    const std::string request = take_request(it);
+    if (request.empty()) {
       return;
     }
-    const std::string request = std::exchange(it.received, {});
     const std::string id = header_of(request, "Attempt-Id");
     if (id.empty()) {
-      const std::string report =
-          to_text({{"stage", "both"},
-                   {"models", {{{"name", "m"}, {"version", 1}, {"adapters", json::array()}}}},
-                   {"busy", false},
-                   {"sequence", 0},
-                   {"queued", 0},
-                   {"running", 0},
-                   {"born", 1}});
-      it.send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
-              std::to_string(report.size()) + "\r\n\r\n" + report);
+      it.send(engine_report_message());
       return;
     }
     repeated_on_connection += carried_[&it].insert(id).second ? 0 : 1;
--- a/tests/platform/unmatched_response_test.cpp
+++ b/tests/platform/unmatched_response_test.cpp
@@ -46,15 +46,11 @@
 
 private:
   void answer(http1::raw_connection& it) {
-    const auto end = it.received.find("\r\n\r\n");
-    if (end == std::string::npos) {
+    const std::string request = take_request(it);
+    if (request.empty()) {
       return;
     }
-    const std::string length = header_of(it.received, "Content-Length");
-    if (it.received.size() < end + 4 + (length.empty() ? 0 : std::stoul(length))) {
-      return;
-    }
-    const std::string id = header_of(std::exchange(it.received, {}), "Attempt-Id");
+    const std::string id = header_of(request, "Attempt-Id");
     const bool is_first = used_.insert(&it).second;
     disturbed += is_first ? 0 : 1;
     const std::string body = "answer to " + id;
