Do not take a part of an early response for the whole one

Callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written.

Cause: after a reset, a write that finds the error takes it from the socket, and the read that follows sees an end of the input. libevent reports both as one event, and the client looked for the end only. On a connection that has carried a request the write comes first, on a new one the read. An endpoint that ended its side in order and reset the connection later had the same effect on every connection. evhttp, which the daemon uses, fails while it writes, but took the part for whole when the rest of the request waited in the system's buffers.

Change: a response without a length is complete only if its connection ends without an error after the endpoint's system has received the whole request (no output left, no unacknowledged bytes, no error of the socket). Until then a reset may still follow, so the end shows nothing. net::http_client, which does not see how a connection ends, refuses such a response when its head arrives before the request was received. Responses with a length or chunks are read as before.

--- a/libs/http1/client_connection.cpp
+++ b/libs/http1/client_connection.cpp
@@ -16,6 +16,7 @@
 #include "base/hash.h"
 #include "base/release_memory.h"
 #include "http1/message_output.h"
+#include "net/output_state.h"
 
 namespace boragedoor::http1 {
 
@@ -211,8 +212,7 @@
     return;
   }
   keep->read_input();
-  // Only an orderly close completes a response that has no length.
-  if (keep->active_ && (what & BEV_EVENT_EOF) != 0 && keep->response_.status != 0) {
+  if (keep->active_ && keep->response_.status != 0 && keep->ends_in_order(what)) {
     keep->parser_->finish();
     if (keep->message_done_) {
       keep->keep_alive_ = false;
@@ -223,6 +223,14 @@
   keep->fail(call_outcome::broken);
 }
 
+bool client_connection::ends_in_order(short what) const {
+  // After a reset, the write that finds the error takes it from the socket, and the next read sees
+  // an end of the input. Both are then reported together.
+  const bool is_end = (what & BEV_EVENT_EOF) != 0 && (what & BEV_EVENT_ERROR) == 0;
+  return is_end && evbuffer_get_length(bufferevent_get_output(bev_)) == 0 &&
+         net::is_output_received(bufferevent_getfd(bev_));
+}
+
 void client_connection::read_input() {
   if (bev_ == nullptr) {
     return;
--- a/libs/http1/client_connection.h
+++ b/libs/http1/client_connection.h
@@ -56,6 +56,10 @@
   void connect();
   void write_request();
   void read_input();
+  /// Whether the end of the connection completes a response that has no length: the server ended
+  /// its side in order, and it had received the whole request. A server that ends earlier may still
+  /// reset the connection, and one that crashes ends its side in the same way.
+  [[nodiscard]] bool ends_in_order(short what) const;
   bool take_head(const message_head& head);
   void take_data(std::string_view data);
   [[nodiscard]] bool collects_body() const { return !callbacks_.on_data && spec_.collect_body; }
--- a/libs/net/http_client.cpp
+++ b/libs/net/http_client.cpp
@@ -17,6 +17,8 @@
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 
+#include "net/output_state.h"
+
 namespace boragedoor::net {
 
 namespace {
@@ -49,6 +51,10 @@
   return std::nullopt;
 }
 
+// What a header callback tells evhttp.
+constexpr int accept = 0;
+constexpr int refuse = -1;
+
 /// A connection and the count of bytes that it handed to the network.
 struct client_connection {
   evhttp_connection* handle = nullptr;
@@ -172,7 +178,7 @@
   }
 
 private:
-  static void on_headers_impl(call& it, evhttp_request* raw) {
+  static int on_headers_impl(call& it, evhttp_request* raw) {
     it.progressed();
     it.reply_.status = evhttp_request_get_response_code(raw);
     const evkeyvalq* fields = evhttp_request_get_input_headers(raw);
@@ -180,18 +186,42 @@
          field = field->next.tqe_next) {
       it.reply_.fields.emplace_back(field->key, field->value);
     }
+    if (it.ends_with_connection() && !it.is_request_received()) {
+      it.refusal_ = error{error_code::unavailable,
+                          "the server sent a reply without a length before it had the request"};
+      return refuse;
+    }
     if (it.callbacks_.on_headers) {
       it.callbacks_.on_headers(it.reply_);
     }
+    return accept;
   }
 
   static int on_headers(evhttp_request* raw, void* self) {
     auto& it = *static_cast<call*>(self);
     if (it.self_) {
       const auto keep = it.self_;
-      on_headers_impl(it, raw);
+      return on_headers_impl(it, raw);
     }
-    return 0;
+    return accept;
+  }
+
+  /// Whether the end of the connection is the end of the reply's body.
+  [[nodiscard]] bool ends_with_connection() const {
+    const std::string coding(find_header(reply_.fields, "Transfer-Encoding"));
+    return spec_.method != "HEAD" && reply_.status != HTTP_NOCONTENT &&
+           reply_.status != HTTP_NOTMODIFIED &&
+           find_header(reply_.fields, "Content-Length").empty() &&
+           evutil_ascii_strcasecmp(coding.c_str(), "chunked") != 0;
+  }
+
+  /// evhttp hides how a connection ended. A server that ends its side before it has received the
+  /// request may still reset the connection, and one that crashes ends its side in the same way, so
+  /// the end would not show that a body without a length is whole.
+  [[nodiscard]] bool is_request_received() const {
+    bufferevent* bev = evhttp_connection_get_bufferevent(connection_->handle);
+    return evbuffer_get_length(bufferevent_get_output(bev)) == 0 &&
+           is_output_received(bufferevent_getfd(bev));
   }
 
   static void on_chunk(evhttp_request* raw, void* self) {
@@ -227,6 +257,9 @@
 
   error describe_error() const {
     const std::string place = " (" + to_string(spec_.target) + ')';
+    if (refusal_) {
+      return {refusal_->code, refusal_->message + place};
+    }
     if (!evhttp_error_) {
       return {error_code::unavailable, "connection refused or reset" + place};
     }
@@ -315,6 +348,8 @@
   client_connection* connection_ = nullptr;
   evhttp_request* request_ = nullptr;
   std::optional<evhttp_request_error> evhttp_error_;
+  /// Why the reply was refused with its head.
+  std::optional<error> refusal_;
   http_reply reply_;
   std::shared_ptr<call> self_;
 };
--- /dev/null
+++ b/libs/net/output_state.cpp
@@ -0,0 +1,17 @@
+#include "net/output_state.h"
+
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+namespace boragedoor::net {
+
+bool is_output_received(evutil_socket_t fd) {
+  int unacknowledged_bytes = 0;
+  int error = 0;
+  socklen_t size = sizeof error;
+  return ::ioctl(fd, SIOCOUTQ, &unacknowledged_bytes) == 0 && unacknowledged_bytes == 0 &&
+         ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0;
+}
+
+} // namespace boragedoor::net
--- a/tests/http1/client_test.cpp
+++ b/tests/http1/client_test.cpp
@@ -300,6 +300,88 @@
     CHECK(call() == call_outcome::broken);
   }
 
+  SECTION("a response without a length is not complete before its request was received") {
+    // Guards against a part of a response that is taken for the whole one because its connection
+    // ended while the request was being written. What the end looks like depends on whether the
+    // socket's error is found by a read or by a write, and that on what the connection did before.
+    constexpr std::size_t received_before_end = 64UL * 1024;
+    enum class ending { reset, close_then_reset, close } how = ending::reset;
+    answer = "HTTP/1.1 200 OK\r\n\r\npart";
+    raw_server hasty(*loop, [&](raw_connection& it) {
+      if (!has_request(it)) {
+        return;
+      }
+      if (it.received.starts_with("GET")) {
+        it.received.clear();
+        it.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        return;
+      }
+      if (!it.is_answered) {
+        it.is_answered = true;
+        it.send(answer);
+        if (how != ending::reset) {
+          it.close();
+        }
+      }
+      if (it.received.size() > received_before_end && how != ending::close) {
+        it.received.clear();
+        it.reset();
+      }
+    });
+    spec.target = hasty.address();
+    how = GENERATE(ending::reset, ending::close_then_reset, ending::close);
+    const bool used_connection = GENERATE(false, true);
+    const std::size_t size = GENERATE(256UL * 1024, 2UL * 1024 * 1024, 16UL * 1024 * 1024);
+    INFO("ending " << static_cast<int>(how) << ", used " << used_connection << ", size " << size);
+    constexpr int repetitions = 3;
+    for (int n = 0; n < repetitions; ++n) {
+      if (used_connection) {
+        CHECK(call() == call_outcome::complete);
+      }
+      call_spec upload = spec;
+      upload.message.method = "POST";
+      upload.message.body = std::string(size, 'x');
+      end = {};
+      calls.send(std::move(upload), callbacks);
+      REQUIRE(loop->run_until([&] { return end.outcome.has_value(); }, patience));
+      CHECK(*end.outcome == call_outcome::broken);
+    }
+  }
+
+  SECTION("a response without a length is not complete while its request waits in the system's "
+          "buffers") {
+    // Guards against the same where nothing is left to write and the server does not read.
+    constexpr duration until_written = milliseconds(100);
+    raw_server idle(*loop, [&](raw_connection& it) {
+      it.set_reading(false);
+      loop->post_after(until_written, [&] {
+        it.send("HTTP/1.1 200 OK\r\n\r\npart");
+        it.close();
+      });
+    });
+    spec.target = idle.address();
+    spec.message.method = "POST";
+    spec.message.body = std::string(2UL * 1024 * 1024, 'x');
+    CHECK(call() == call_outcome::broken);
+  }
+
+  SECTION("a response without a length that comes after its request was received is complete") {
+    // Guards against a whole response that is refused because its request was long.
+    const std::size_t size = 4UL * 1024 * 1024;
+    raw_server patient(*loop, [&](raw_connection& it) {
+      if (it.received.size() > size) {
+        it.received.clear();
+        it.send("HTTP/1.1 200 OK\r\n\r\nwhole");
+        it.close();
+      }
+    });
+    spec.target = patient.address();
+    spec.message.method = "POST";
+    spec.message.body = std::string(size, 'x');
+    CHECK(call() == call_outcome::complete);
+    CHECK(end.it.body == "whole");
+  }
+
   SECTION("a response that ends before its length is broken") {
     answer = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart";
     after = then::close;
--- a/tests/http1/raw_peer.h
+++ b/tests/http1/raw_peer.h
@@ -35,6 +35,8 @@
 
   std::string received;
   bool closed_by_peer = false;
+  /// For handlers that answer before a whole request has arrived.
+  bool is_answered = false;
   std::function<void(raw_connection&)> on_data;
 
 private:
