Refuse heads in which a line is no field

Callers saw: an answer in whose head a line began with a blank or a tab was passed on, with that line joined to the value of the field before it, such as the signature.

Cause: http_parser and evhttp take a line that begins with white space for the rest of the value before it, and evhttp takes any text before a colon for a name. Names were checked by http1::parser only, in what the library reports.

Change: net::head_check checks each line of a head as it was sent: a token, a colon, no carriage return but before a line feed. http1::parser refuses other heads in both directions, which replaces the server's own check for folded requests, and net::http_client refuses such replies.

--- a/libs/http1/message.cpp
+++ b/libs/http1/message.cpp
@@ -11,6 +11,8 @@
 #include <event2/http.h>
 #include <http_parser.h>
 
+#include "net/head_check.h"
+
 namespace boragedoor::http1 {
 
 namespace {
@@ -29,12 +31,6 @@
   return text;
 }
 
-bool is_token_character(char it) {
-  constexpr std::string_view others = "!#$%&'*+-.^_`|~";
-  return std::isalnum(static_cast<unsigned char>(it)) != 0 ||
-         others.find(it) != std::string_view::npos;
-}
-
 std::string decode_component(std::string_view text) {
   std::size_t n = 0;
   const std::string copy(text);
@@ -95,7 +91,7 @@
     const auto code = static_cast<unsigned char>(it);
     return it == '\t' || (code >= 0x20 && code != 0x7f);
   };
-  return !name.empty() && std::all_of(name.begin(), name.end(), is_token_character) &&
+  return !name.empty() && std::all_of(name.begin(), name.end(), net::is_token_character) &&
          std::all_of(value.begin(), value.end(), visible);
 }
 
@@ -112,7 +108,7 @@
 
 bool is_writable(const request& it) {
   return !it.method.empty() &&
-         std::all_of(it.method.begin(), it.method.end(), is_token_character) &&
+         std::all_of(it.method.begin(), it.method.end(), net::is_token_character) &&
          is_valid_target(it.target) &&
          std::all_of(it.headers.begin(), it.headers.end(),
                      [](const auto& field) { return is_valid_header(field.first, field.second); });
--- a/libs/http1/parser.cpp
+++ b/libs/http1/parser.cpp
@@ -21,7 +21,7 @@
   bool refused = false;
   /// Whether the head was reported. Fields that follow it are trailer fields, which are dropped.
   bool head_done = false;
-  /// The head of the response that is being parsed, as it was sent.
+  /// The head of the message that is being parsed, as it was sent.
   net::head_check sent_head;
 
   /// Whether a response can be the answer to a request, or an interim one before it.
@@ -85,9 +85,10 @@
     }
     head.keep_alive = http_should_keep_alive(it) != 0;
     head.has_length = (it->flags & (F_CONTENTLENGTH | F_CHUNKED)) != 0;
-    const bool valid = std::all_of(head.headers.begin(), head.headers.end(), [](const auto& field) {
-      return is_valid_header(field.first, field.second);
-    });
+    const bool valid = self.sent_head.has_valid_lines() &&
+                       std::all_of(head.headers.begin(), head.headers.end(), [](const auto& field) {
+                         return is_valid_header(field.first, field.second);
+                       });
     self.refused = !valid || (self.events.on_head && !self.events.on_head(head));
     self.head_done = true;
     // The owner keeps what it needs of the head for as long as the body takes.
@@ -136,9 +137,7 @@
   if (HTTP_PARSER_ERRNO(&impl_->state) == HPE_PAUSED) {
     http_parser_pause(&impl_->state, 0);
   }
-  if (impl_->kind == message_kind::response) {
-    impl_->sent_head.feed(data);
-  }
+  impl_->sent_head.feed(data);
   return http_parser_execute(&impl_->state, &impl_->settings, data.data(), data.size());
 }
 
--- a/libs/http1/server_connection.cpp
+++ b/libs/http1/server_connection.cpp
@@ -170,14 +170,8 @@
   }
   const auto* text =
       reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(head_length)));
-  const std::string_view head(text, head_length);
-  // Folded lines are obsolete and are joined in different ways by different receivers.
-  if (head.find("\n ") != std::string_view::npos || head.find("\n\t") != std::string_view::npos) {
-    refuse(400, "header lines must not be folded");
-    return false;
-  }
   message_done_ = false;
-  parser_.feed(head);
+  parser_.feed({text, head_length});
   if (parser_.failed()) {
     if (phase_ != phase::closing) {
       refuse(refusal_ == 0 ? 400 : refusal_,
--- a/libs/net/head_check.cpp
+++ b/libs/net/head_check.cpp
@@ -1,5 +1,7 @@
 #include "net/head_check.h"
 
+#include <cctype>
+
 namespace boragedoor::net {
 
 namespace {
@@ -12,6 +14,12 @@
 
 } // namespace
 
+bool is_token_character(char it) {
+  constexpr std::string_view others = "!#$%&'*+-.^_`|~";
+  return std::isalnum(static_cast<unsigned char>(it)) != 0 ||
+         others.find(it) != std::string_view::npos;
+}
+
 std::size_t head_check::feed(std::string_view data) {
   std::size_t used = 0;
   while (used < data.size() && !is_complete()) {
@@ -21,6 +29,9 @@
 }
 
 void head_check::take(char it) {
+  // Some receivers take a carriage return alone for the end of a line (RFC 9112, 2.2).
+  has_valid_lines_ = has_valid_lines_ && (!after_carriage_return_ || it == '\n');
+  after_carriage_return_ = it == '\r';
   switch (place_) {
   case place::before:
     if (it == '\r' || it == '\n') {
@@ -40,10 +51,14 @@
     if (it == '\n') {
       place_ = place::end;
     } else if (it != '\r') {
-      place_ = place::field;
+      has_valid_lines_ = has_valid_lines_ && it != ':';
+      take_name(it);
     }
     return;
-  case place::field:
+  case place::name:
+    take_name(it);
+    return;
+  case place::value:
     if (it == '\n') {
       place_ = place::line_start;
     }
@@ -53,6 +68,15 @@
   }
 }
 
+void head_check::take_name(char it) {
+  if (it == ':') {
+    place_ = place::value;
+    return;
+  }
+  has_valid_lines_ = has_valid_lines_ && is_token_character(it);
+  place_ = it == '\n' ? place::line_start : place::name;
+}
+
 bool head_check::has_valid_status() const {
   if (start_.size() < status_end || start_[status_at - 1] != ' ') {
     return false;
--- a/libs/net/http_client.cpp
+++ b/libs/net/http_client.cpp
@@ -89,7 +89,7 @@
     while (!rest.empty() && !reply_head.is_complete()) {
       rest.remove_prefix(reply_head.feed(rest));
       // evhttp skips interim responses.
-      if (reply_head.is_complete() && reply_head.is_interim()) {
+      if (reply_head.is_complete() && reply_head.is_interim() && reply_head.has_valid_lines()) {
         reply_head.restart();
       }
     }
@@ -221,7 +221,7 @@
     }
     // A head of which no end was seen is of an interim response that evhttp does not skip.
     const head_check& head = it.connection_->reply_head;
-    if (!head.is_complete() || !head.has_valid_status()) {
+    if (!head.is_complete() || !head.has_valid_status() || !head.has_valid_lines()) {
       it.refusal_ = error{error_code::protocol, "the server sent a malformed reply"};
       return refuse;
     }
--- a/tests/http1/invalid_heads.h
+++ b/tests/http1/invalid_heads.h
@@ -5,6 +5,32 @@
 
 namespace boragedoor::testing {
 
+/// Lines that are no field line of a response (RFC 9112, 5): the name is missing or holds other
+/// characters than a token does, or the line continues the one before.
+inline constexpr std::array invalid_field_lines = {
+    std::string_view(" X: 1"),
+    std::string_view("\tX: 1"),
+    std::string_view("  continued"),
+    std::string_view(" Content-Length: 1"),
+    std::string_view("X : 1"),
+    std::string_view("X\t: 1"),
+    std::string_view("X Y: 1"),
+    std::string_view("X\tY: 1"),
+    std::string_view("Content-Length : 1"),
+    std::string_view("Transfer-Encoding : chunked"),
+    std::string_view("Transfer-Encoding\t: chunked"),
+    std::string_view("\x01X: 1"),
+    std::string_view("X\x01Y: 1"),
+    std::string_view("X\x0b: 1"),
+    std::string_view("X\x7f: 1"),
+    std::string_view("X\0Y: 1", 6),
+    std::string_view("X\rY: 1"),
+    std::string_view("X\xc3\xa9: 1"),
+    std::string_view("X(Y): 1"),
+    std::string_view(": 1"),
+    std::string_view("no colon"),
+};
+
 /// Statuses that are none: not three digits, or the first of them not from 1 to 5.
 inline constexpr std::array invalid_statuses = {
     std::string_view("000 Trouble"), std::string_view("001 Trouble"),
--- a/tests/http1/parser_test.cpp
+++ b/tests/http1/parser_test.cpp
@@ -78,4 +78,45 @@
   }
 }
 
+// Guards against a response whose head is read in another way than it was written: a line that is
+// no field was passed on, joined to a field that the product uses, or hid the length of the body.
+TEST_CASE("a field line of a response has a name that consists of token characters") {
+  const std::size_t piece = GENERATE(1UL, 2UL, 3UL, 5UL, 7UL, 1000UL);
+  INFO("pieces of " << piece);
+  const auto with_line = [](std::string_view line, std::string_view framing, bool first) {
+    const std::string other = "Response-Signature: sig\r\n";
+    const std::string odd = std::string(line) + "\r\n";
+    return "HTTP/1.1 200 OK\r\n" + (first ? odd + other : other + odd) + std::string(framing) +
+           "\r\nok";
+  };
+  const std::string_view framing = GENERATE("", "Content-Length: 2\r\n");
+
+  SECTION("other lines are refused with the head") {
+    const std::string_view line = GENERATE(from_range(testing::invalid_field_lines));
+    const bool first = GENERATE(false, true);
+    INFO(line << (first ? ", as the first line" : ""));
+    const auto out = parse_responses(with_line(line, framing, first), piece);
+    CHECK(out.failed);
+    CHECK(out.statuses.empty());
+    SECTION("also after sound responses") {
+      const auto later = parse_responses(
+          "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n\n a" +
+              with_line(line, framing, first),
+          piece);
+      CHECK(later.failed);
+      CHECK(later.statuses == std::vector<int>{103, 200});
+    }
+  }
+
+  SECTION("all others are read, and bodies may hold any line") {
+    const std::string_view line =
+        GENERATE("X:1", "X: ", "X:\t1 ", "!#$%&'*+-.^_`|~: a\tb", "X: a: b", "x-1:  \xc3\xa9");
+    INFO(line);
+    const auto out =
+        parse_responses(with_line(line, "Content-Length: 9\r\n", true) + "\n x\r\n y", piece);
+    CHECK_FALSE(out.failed);
+    CHECK(out.statuses == std::vector<int>{200});
+  }
+}
+
 } // namespace boragedoor::http1
--- a/tests/net/broken_response_test.cpp
+++ b/tests/net/broken_response_test.cpp
@@ -126,6 +126,25 @@
     CHECK((end.failure && end.failure->cause.code == error_code::protocol));
   }
 
+  SECTION("a response with a line in its head that is no field fails") {
+    const std::string_view line = GENERATE(from_range(testing::invalid_field_lines));
+    const std::string_view framing = GENERATE("", "Content-Length: 2\r\n");
+    const bool first = GENERATE(false, true);
+    INFO(line << (first ? ", as the first line" : "") << ", " << framing);
+    answer = [&](http1::raw_connection& it) {
+      it.received.clear();
+      const std::string other = "X-Other: 1\r\n";
+      const std::string odd = std::string(line) + "\r\n";
+      it.send("HTTP/1.1 200 OK\r\n" + (first ? odd + other : other + odd) + std::string(framing) +
+              "\r\nok");
+      if (framing.empty()) {
+        it.close();
+      }
+    };
+    const seen_end end = call("POST", "body");
+    CHECK((end.failure && end.failure->cause.code == error_code::protocol));
+  }
+
   SECTION("interim responses are skipped") {
     answer = [&](http1::raw_connection& it) {
       it.received.clear();
