--- a/libs/http1/call.h
+++ b/libs/http1/call.h
@@ -24,7 +24,7 @@
 
 /// How a call ended.
 enum class call_outcome {
-  /// The whole response arrived.
+  /// The whole response arrived; without a length, it ended in order after the whole request.
   complete,
   /// No connection was made, so the server saw nothing.
   not_connected,
--- a/libs/net/http_client.cpp
+++ b/libs/net/http_client.cpp
@@ -52,9 +52,9 @@
   return std::nullopt;
 }
 
-// What a header callback tells evhttp.
-constexpr int accept = 0;
-constexpr int refuse = -1;
+// What a callback with the head of a reply tells evhttp.
+constexpr int read_on = 0;
+constexpr int end_call = -1;
 
 /// A connection, the count of bytes that it handed to the network, and the head of the reply that
 /// comes on it.
@@ -223,17 +223,17 @@
     const head_check& head = it.connection_->reply_head;
     if (!head.is_complete() || !head.has_valid_status() || !head.has_valid_lines()) {
       it.refusal_ = error{error_code::protocol, "the server sent a malformed reply"};
-      return refuse;
+      return end_call;
     }
     if (it.ends_with_connection() && !it.is_request_received()) {
       it.refusal_ = error{error_code::unavailable,
                           "the server sent a reply without a length before it had the request"};
-      return refuse;
+      return end_call;
     }
     if (it.callbacks_.on_headers) {
       it.callbacks_.on_headers(it.reply_);
     }
-    return accept;
+    return read_on;
   }
 
   static int on_headers(evhttp_request* raw, void* self) {
@@ -242,7 +242,7 @@
       const auto keep = it.self_;
       return on_headers_impl(it, raw);
     }
-    return accept;
+    return read_on;
   }
 
   /// Whether the end of the connection is the end of the reply's body.
