Review: a reward call that was given up runs long after its job has ended

Cause: a call that is given up ends with an orderly close, so its request is still delivered when a cut link is whole again.

--- a/review/common-3/world.h
+++ b/review/common-3/world.h
@@ -751,4 +751,116 @@
   return false;
 }
 
+/// A model replica of this process: streams `events` events in chunks, one each `interval_ms`.
+struct engine_options {
+  int events = 3;
+  int interval_ms = 20;
+  int version = 1;
+};
+inline int start_engine(record& log, engine_options options = {}) {
+  const int listener = listen_on("127.0.0.1", 0);
+  serve(listener, [&log, options](int fd, message& request, reader&) {
+    if (request.path() == "/report") {
+      return write_all(fd, response(200, json{{"stage", "both"},
+                                              {"models", {{{"name", "m"},
+                                                           {"version", options.version},
+                                                           {"adapters", json::array()}}}},
+                                              {"busy", false},
+                                              {"sequence", 1},
+                                              {"queued", 0},
+                                              {"running", 0},
+                                              {"kv_used", 0},
+                                              {"kv_total", 1000},
+                                              {"handles", 0}}
+                                             .dump()));
+    }
+    const std::string id = request.field("attempt-id");
+    const int after = std::atoi(request.field("last-event-id").c_str());
+    log.line("replica runs " + id + " after event " + std::to_string(after));
+    const auto chunk = [fd](const std::string& text) {
+      char size[16];
+      std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+      return write_all(fd, size + text + "\r\n");
+    };
+    bool open = write_all(fd, "HTTP/1.1 200 OK\r\nAttempt-Id: " + id +
+                                  "\r\nResponse-Signature: s." + id + "\r\nWeight-Versions: " +
+                                  std::to_string(options.version) +
+                                  "\r\nContent-Type: text/event-stream\r\n"
+                                  "Transfer-Encoding: chunked\r\n\r\n");
+    for (int n = after + 1; open && n <= options.events; ++n) {
+      open = chunk("id: " + std::to_string(n) + "\ndata: " + id + " piece " + std::to_string(n) +
+                   "\n\n");
+      sleep_ms(options.interval_ms);
+    }
+    return open && write_all(fd, "0\r\n\r\n");
+  });
+  return port_of(listener);
+}
+
+/// A replica of a plain service of this process, which answers after `work_ms`.
+inline int start_plain(record& log, int work_ms = 10) {
+  const int listener = listen_on("127.0.0.1", 0);
+  serve(listener, [&log, work_ms](int fd, message& request, reader&) {
+    const std::string id = request.field("attempt-id");
+    if (!id.empty()) {
+      log.line("plain replica runs " + id + " " + request.target);
+    }
+    sleep_ms(work_ms);
+    return write_all(fd, response(200, "answer to " + id,
+                                  "Attempt-Id: " + id + "\r\nResponse-Signature: p." + id + "\r\n"));
+  });
+  return port_of(listener);
+}
+
+/// Routes of a small deployment: a plain one, whose calls also score, and one of batch jobs.
+inline json small_configuration(int version, const json& tenants) {
+  json it = {{"version", version},
+             {"routes",
+              {{{"name", "status"},
+                {"host", "a.example"},
+                {"prefix", "/status/"},
+                {"kind", "safe"},
+                {"timeout_ms", 3000},
+                {"target_latency_ms", 500},
+                {"max_attempts", 2},
+                {"public", true},
+                {"service", "plain"}},
+               {{"name", "jobs"},
+                {"host", "a.example"},
+                {"prefix", "/jobs/"},
+                {"kind", "rollout"},
+                {"timeout_ms", 10000},
+                {"target_latency_ms", 500},
+                {"due_ms", 7500},
+                {"max_queue_s", 40},
+                {"max_attempts", 3},
+                {"service", "models"}}}},
+             {"services", {{{"name", "plain"}}, {{"name", "models"}}}},
+             {"limits", limits()}};
+  if (!tenants.is_null()) {
+    it["tenants"] = tenants;
+  }
+  return it;
+}
+
+/// A batch job of `groups` groups of two items.
+inline json small_job(const std::string& prefix, int groups) {
+  json items = json::array();
+  for (int n = 0; n < 2 * groups; ++n) {
+    const std::string id = prefix + std::to_string(n);
+    items.push_back({{"id", id},
+                     {"path", "/jobs/x"},
+                     {"headers", {{"Model", "m"}, {"Token-Usage", "10,100"}}},
+                     {"body", encode64("body of " + id)},
+                     {"tokens", 110},
+                     {"group", prefix + "g" + std::to_string(n / 2)},
+                     {"scorer_url",
+                      {{"id", prefix + "w" + std::to_string(n)},
+                       {"host", "a.example"},
+                       {"path", "/status/x"},
+                       {"body", encode64("text")}}}});
+  }
+  return {{"step", 0}, {"model", "m"}, {"min_version", 1}, {"desired", groups}, {"items", items}};
+}
+
 } // namespace world
