--- a/review/common-3/world.h
+++ b/review/common-3/world.h
@@ -381,6 +381,13 @@
     changed_.notify_all();
     return revision_;
   }
+  /// Writes bytes as they are.
+  void put_bytes(const std::string& key, const std::string& value) {
+    const std::lock_guard lock(mutex_);
+    ++revision_;
+    write(key, value, 0);
+    changed_.notify_all();
+  }
   void erase(const std::string& key) {
     const std::lock_guard lock(mutex_);
     ++revision_;
