Reset the connection of a call that ends without its response

Cause: a call that ended without its response closed its connection in order, and the system goes on sending what it holds of such a connection. Evidence: of a request whose process is killed while it is being received, 2,883,584 bytes arrive where 114,688 had arrived at the kill.

Change: http1::client_connection sets SO_LINGER with 0 with its first request and takes it back before it closes a connection whose response came whole. That covers every end of a call: cancelled, timed out, no HTTP, an early end by the server, a stop, a kill. Connections of callers stay closed in order.

The tests' link now delivers what it held if a connection was closed in order, as a network does; a reset takes it back.

--- a/libs/http1/client_connection.cpp
+++ b/libs/http1/client_connection.cpp
@@ -173,6 +173,10 @@
   if (it.method == "HEAD") {
     parser_->expect_no_body();
   }
+  awaits_response_ = true;
+  if (!std::exchange(resets_on_close_, true)) {
+    net::set_reset_on_close(bufferevent_getfd(bev_), true);
+  }
   bufferevent_write(bev_, head.data(), head.size());
   if (it.shared_body) {
     shared_bytes_ = size;
@@ -325,6 +329,7 @@
     }
     return;
   }
+  awaits_response_ = false;
   // Bytes beyond the response are of no request; such a connection is not used again.
   const bool reusable =
       bev_ != nullptr && keep_alive_ && evbuffer_get_length(bufferevent_get_input(bev_)) == 0;
@@ -384,6 +389,9 @@
   input_account_.set(0);
   output_account_.set(0);
   if (bev_ != nullptr) {
+    if (resets_on_close_ && !awaits_response_) {
+      net::set_reset_on_close(bufferevent_getfd(bev_), false);
+    }
     bufferevent_disable(bev_, EV_READ | EV_WRITE);
     bufferevent_setcb(bev_, nullptr, nullptr, nullptr, nullptr);
     evbuffer_remove_cb(bufferevent_get_output(bev_), &client_connection::on_output, this);
--- a/libs/http1/client_connection.h
+++ b/libs/http1/client_connection.h
@@ -18,6 +18,12 @@
 namespace boragedoor::http1 {
 
 /// One connection to a server. It carries one call at a time and may be kept for the next.
+///
+/// Design note: a connection whose call ends without its whole response is reset, however the call
+/// ends and also if the process is killed. The system drops what it has not delivered, so a call
+/// that was given up while the link was cut does not run when the link is back. A connection whose
+/// response came whole has nothing to take back and is closed in order, as are those of callers
+/// (`server_connection`), where a reset could destroy a response that is on its way.
 class client_connection : public call, public std::enable_shared_from_this<client_connection> {
 public:
   /// `on_idle` is called when the connection may carry another call, `on_closed` when it may not.
@@ -94,6 +100,9 @@
   std::vector<std::uint64_t> carried_;
   bool active_ = false;
   bool connected_ = false;
+  /// Whether a request was written whose response has not come whole.
+  bool awaits_response_ = false;
+  bool resets_on_close_ = false;
   bool skipping_ = false;
   bool message_done_ = false;
   bool too_large_ = false;
--- a/libs/net/output_state.cpp
+++ b/libs/net/output_state.cpp
@@ -14,4 +14,10 @@
          ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0;
 }
 
+void set_reset_on_close(evutil_socket_t fd, bool on) {
+  const linger how{.l_onoff = on ? 1 : 0, .l_linger = 0};
+  // A socket that is closed already has ended.
+  (void)::setsockopt(fd, SOL_SOCKET, SO_LINGER, &how, sizeof how);
+}
+
 } // namespace boragedoor::net
--- a/tests/http1/client_test.cpp
+++ b/tests/http1/client_test.cpp
@@ -1,5 +1,9 @@
 #include "http1/client.h"
 
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <optional>
 #include <utility>
@@ -446,6 +450,108 @@
     REQUIRE(loop->run_until([&] { return server.connections.front()->closed_by_peer; }, patience));
     CHECK_FALSE(end.outcome);
   }
+
+  SECTION("a connection whose response came whole is closed in order") {
+    // Guards against a reset that destroys what the server may still read.
+    answer = GENERATE(std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"),
+                      std::string("HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                                  "Content-Length: 2\r\n\r\nok"));
+    CHECK(call() == call_outcome::complete);
+    calls.drop_idle(spec.target);
+    REQUIRE(loop->run_until([&] { return server.connections.front()->closed_by_peer; }, patience));
+    CHECK_FALSE(server.connections.front()->reset_by_peer);
+  }
+}
+
+// Guards against a request that runs long after its call has ended: the system goes on sending what
+// it holds of a connection that was closed in order, for minutes if the link is cut.
+TEST_CASE("a request whose call ends without its response is not sent on by the system") {
+  constexpr duration until_written = milliseconds(100);
+  auto loop = net::event_loop::create().value();
+  bool reads = false;
+  raw_server server(*loop, [&](raw_connection& it) { it.set_reading(reads); });
+  call_spec spec;
+  spec.target = server.address();
+  spec.message.method = "POST";
+  // More than the systems of both sides hold, so that each has a part.
+  spec.message.body = std::string(16UL * 1024 * 1024, 'x');
+  const auto wait_until_written = [&] {
+    REQUIRE(loop->run_until(
+        [&] { return !server.connections.empty() && !server.connections[0]->received.empty(); },
+        patience));
+    loop->run_until([] { return false; }, until_written);
+  };
+  std::size_t arrived = 0;
+  const auto note_arrived = [&] {
+    arrived = server.connections[0]->received.size() + server.connections[0]->unread();
+  };
+
+  SECTION("whoever ends it") {
+    auto calls = std::make_unique<client>(*loop);
+    seen_end end;
+    call_callbacks callbacks;
+    callbacks.on_end = [&](call_outcome outcome, response it) { end = {outcome, std::move(it)}; };
+    const auto open_call = [&] { return calls->send(std::move(spec), std::move(callbacks)); };
+    SECTION("its owner") {
+      const auto open = open_call();
+      wait_until_written();
+      note_arrived();
+      open->cancel();
+    }
+    SECTION("the time of the call") {
+      spec.progress_timeout = 4 * until_written;
+      open_call();
+      wait_until_written();
+      REQUIRE(loop->run_until([&] { return end.outcome.has_value(); }, patience));
+      CHECK(end.outcome == call_outcome::timed_out);
+      note_arrived();
+    }
+    SECTION("bytes that are no response") {
+      open_call();
+      wait_until_written();
+      server.connections[0]->send("this is not HTTP\r\n\r\n");
+      REQUIRE(loop->run_until([&] { return end.outcome.has_value(); }, patience));
+      CHECK(end.outcome == call_outcome::malformed);
+      note_arrived();
+    }
+    SECTION("the server, which closes its side") {
+      open_call();
+      wait_until_written();
+      server.connections[0]->close();
+      REQUIRE(loop->run_until([&] { return end.outcome.has_value(); }, patience));
+      CHECK(end.outcome == call_outcome::broken);
+      note_arrived();
+    }
+    SECTION("the end of the client") {
+      open_call();
+      wait_until_written();
+      note_arrived();
+      calls.reset();
+    }
+    loop->run_until([] { return false; }, until_written);
+  }
+
+  SECTION("also if the process is killed") {
+    const pid_t child = ::fork();
+    REQUIRE(child >= 0);
+    if (child == 0) {
+      auto own_loop = net::event_loop::create().value();
+      client calls(*own_loop);
+      calls.send(std::move(spec), {});
+      own_loop->run_until([] { return false; }, patience);
+      ::_exit(0);
+    }
+    wait_until_written();
+    note_arrived();
+    ::kill(child, SIGKILL);
+    ::waitpid(child, nullptr, 0);
+  }
+
+  reads = true;
+  server.connections[0]->set_reading(true);
+  REQUIRE(loop->run_until([&] { return server.connections[0]->closed_by_peer; }, patience));
+  CHECK(server.connections[0]->reset_by_peer);
+  CHECK(server.connections[0]->received.size() <= arrived);
 }
 
 } // namespace boragedoor::http1
--- a/tests/http1/raw_peer.cpp
+++ b/tests/http1/raw_peer.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <utility>
@@ -36,7 +37,9 @@
 
 void on_event(bufferevent* /*bev*/, short what, void* self) {
   if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
-    static_cast<raw_connection*>(self)->closed_by_peer = true;
+    auto& it = *static_cast<raw_connection*>(self);
+    it.closed_by_peer = true;
+    it.reset_by_peer = (what & BEV_EVENT_ERROR) != 0;
   }
 }
 
@@ -59,6 +62,12 @@
   return evbuffer_get_length(bufferevent_get_output(bev_));
 }
 
+std::size_t raw_connection::unread() const {
+  int bytes = 0;
+  ::ioctl(bufferevent_getfd(bev_), FIONREAD, &bytes);
+  return static_cast<std::size_t>(bytes);
+}
+
 void raw_connection::set_reading(bool on) {
   if (on) {
     bufferevent_enable(bev_, EV_READ);
--- a/tests/http1/raw_peer.h
+++ b/tests/http1/raw_peer.h
@@ -27,6 +27,8 @@
   void send(std::string_view bytes);
   /// Bytes that were not sent yet.
   [[nodiscard]] std::size_t unsent() const;
+  /// Bytes that have arrived at the system and were not read.
+  [[nodiscard]] std::size_t unread() const;
   /// Stops or continues reading, so that the peer's output fills its buffers.
   void set_reading(bool on);
   /// Closes after what was sent has left, in order or with a reset.
@@ -35,6 +37,8 @@
 
   std::string received;
   bool closed_by_peer = false;
+  /// Whether the peer ended the connection with a reset.
+  bool reset_by_peer = false;
   /// For handlers that answer before a whole request has arrived.
   bool is_answered = false;
   std::function<void(raw_connection&)> on_data;
--- a/tests/platform/link_stand_in.cpp
+++ b/tests/platform/link_stand_in.cpp
@@ -109,12 +109,26 @@
     break;
   }
   if (state == link_state::open) {
-    // What was held up while the link hung arrives late.
-    for (connection& it : connections_) {
-      on_read(it.near, &it);
-      on_read(it.far, &it);
+    pass_held_bytes();
+  }
+}
+
+void link_stand_in::pass_held_bytes() {
+  std::vector<connection*> closed;
+  for (connection& it : connections_) {
+    on_read(it.near, &it);
+    on_read(it.far, &it);
+    if (it.is_closed_by_near) {
+      closed.push_back(&it);
     }
   }
+  for (connection* it : closed) {
+    // The bufferevent would drop what it has not written.
+    evbuffer* output = bufferevent_get_output(it->far);
+    evbuffer_unfreeze(output, 1);
+    evbuffer_write(output, bufferevent_getfd(it->far));
+    close(*it, it->is_reset_by_near);
+  }
 }
 
 void link_stand_in::on_accept(evutil_socket_t fd, short /*what*/, void* self) {
@@ -145,8 +159,18 @@
 void link_stand_in::on_event(bufferevent* from, short what, void* pair) {
   auto* it = static_cast<connection*>(pair);
   if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+    const bool is_reset = (what & BEV_EVENT_ERROR) != 0;
+    if (it->owner->state_ == link_state::hanging && from == it->near) {
+      it->is_closed_by_near = true;
+      it->is_reset_by_near = is_reset;
+      if (is_reset) {
+        evbuffer* held = bufferevent_get_input(from);
+        evbuffer_drain(held, evbuffer_get_length(held));
+      }
+      return;
+    }
     on_read(from, pair);
-    it->owner->close(*it, (what & BEV_EVENT_ERROR) != 0);
+    it->owner->close(*it, is_reset);
   }
 }
 
--- a/tests/platform/link_stand_in.h
+++ b/tests/platform/link_stand_in.h
@@ -21,7 +21,9 @@
   refusing,
   /// Connections are refused, and those that are open were reset.
   resetting,
-  /// Connections get no answer, and nothing passes on those that are open.
+  /// Connections get no answer, and nothing passes on those that are open. What an instance has
+  /// sent on one arrives when the link is open again, also if the instance has closed it meanwhile.
+  /// A reset takes it back, and the replica learns of it only then.
   hanging,
 };
 
@@ -44,6 +46,9 @@
     link_stand_in* owner = nullptr;
     bufferevent* near = nullptr;
     bufferevent* far = nullptr;
+    /// Whether the instance has closed or reset its side while the link was hanging.
+    bool is_closed_by_near = false;
+    bool is_reset_by_near = false;
   };
 
   static void on_accept(evutil_socket_t fd, short what, void* self);
@@ -54,6 +59,8 @@
   /// Fills the queue of new connections, so that the system drops further ones silently.
   void fill_queue();
   void close(connection& it, bool reset);
+  /// Lets what was held up while the link was hanging arrive.
+  void pass_held_bytes();
 
   net::event_loop& loop_;
   net::address target_;
