--- a/tests/platform/given_up_call_test.cpp
+++ b/tests/platform/given_up_call_test.cpp
@@ -14,6 +14,10 @@
 constexpr duration arrival_time = milliseconds(300);
 /// Time that instances have to stop.
 constexpr duration stop_time = seconds(2);
+/// Longest time for which a call that nobody waits for may go on at an instance that forwards it:
+/// the platform's time for the end of a job to take effect.
+constexpr duration forwarding_limit = seconds(3);
+
 /// Two replicas of a plain service and an engine, with a link between the first instance and each.
 /// Kept connections lead to all of them.
 struct given_up_call_fixture : platform_fixture {
@@ -160,6 +164,19 @@
       call->cancel();
       it.wait(arrival_time);
     }
+    SECTION("that does not learn of the end") {
+      link_stand_in between(*it.loop, it.second->relay_address());
+      it.first->context().outgoing.set_relays({{between.address(), true}});
+      it.call(*it.first, "POST", "/plans/7", "body", "key-n", "through");
+      set_links(it.links, link_state::hanging);
+      it.send_with_deadline("left", milliseconds(500));
+      it.wait(milliseconds(20));
+      REQUIRE(it.second->context().outgoing.open_forwards() > 0);
+      between.set_state(link_state::hanging);
+      REQUIRE(it.loop->run_until([&] { return it.second->context().outgoing.open_forwards() == 0; },
+                                 forwarding_limit));
+      it.wait(milliseconds(20));
+    }
   }
 
   CHECK(it.late_requests() == 0);
