Reset the connection of a daemon's call that is given up

Before: net_test "a request whose call is given up is not sent on by the system" fails in 2 of 2 sections (2,850,816 bytes arrive where 87,040 had arrived at the end).

--- a/libs/net/http_client.cpp
+++ b/libs/net/http_client.cpp
@@ -333,6 +333,8 @@
     }
     client_connection* conn = connection_;
     connection_ = nullptr;
+    // The call has no reply, so what the system has not delivered of its request must not arrive.
+    set_reset_on_close(bufferevent_getfd(evhttp_connection_get_bufferevent(conn->handle)), true);
     // evhttp may still use the connection after the callback that is running now.
     owner_->loop.post([guard = impl::guard(conn), keep = shared_from_this()] { guard->reset(); });
   }
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -8,6 +8,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "http1/raw_peer.h"
+
 namespace boragedoor::net {
 
 namespace {
@@ -234,4 +236,51 @@
   }
 }
 
+// Guards against a request that runs long after its call was given up: the system goes on sending
+// what it holds of a connection that was closed in order.
+TEST_CASE("a request whose call is given up is not sent on by the system") {
+  constexpr duration until_written = milliseconds(100);
+  auto loop = event_loop::create().value();
+  bool reads = false;
+  http1::raw_server server(*loop, [&](http1::raw_connection& it) { it.set_reading(reads); });
+  http_client client(*loop);
+  http_call_spec spec;
+  spec.target = server.address();
+  spec.method = "POST";
+  spec.body = std::string(16UL * 1024 * 1024, 'x');
+  outcome seen;
+  const auto wait_until_written = [&] {
+    REQUIRE(loop->run_until(
+        [&] { return !server.connections.empty() && !server.connections[0]->received.empty(); },
+        seconds(5)));
+    loop->run_until([] { return false; }, until_written);
+  };
+  std::size_t arrived = 0;
+  const auto note_arrived = [&] {
+    arrived = server.connections[0]->received.size() + server.connections[0]->unread();
+  };
+
+  SECTION("because it is cancelled") {
+    const auto call = client.send(spec, record_into(seen));
+    wait_until_written();
+    note_arrived();
+    call->cancel();
+  }
+  SECTION("because it takes too long") {
+    spec.total_timeout = 4 * until_written;
+    client.send(spec, record_into(seen));
+    wait_until_written();
+    REQUIRE(loop->run_until([&] { return seen.done; }, seconds(5)));
+    CHECK(seen.failure);
+    note_arrived();
+  }
+
+  loop->run_until([] { return false; }, until_written);
+  reads = true;
+  server.connections[0]->set_reading(true);
+  REQUIRE(loop->run_until([&] { return server.connections[0]->closed_by_peer; }, seconds(5)));
+  CHECK(server.connections[0]->reset_by_peer);
+  CHECK(server.connections[0]->received.size() <= arrived);
+}
+
 } // namespace boragedoor::net
