Break a stream behind what arrived of it

A stream that ended early was broken by closing the caller's connection at once, which drops what was not written yet. Where the end arrives together with events, the caller lost whole events that the endpoint had made; through a relay also the status.

exchange::break_off closes the connection once what was sent has left, without the end of the response; streams and relayed responses use it. A deadline still breaks the connection at once, so that a caller who does not read holds no memory beyond it.

http1_test "a stream that is broken off arrives up to its break" holds; with abort in its place it fails.

--- a/libs/http1/exchange.cpp
+++ b/libs/http1/exchange.cpp
@@ -55,6 +55,13 @@
   }
 }
 
+void exchange::break_off() {
+  if (const auto to = connection_.lock(); to && !done_) {
+    done_ = true;
+    to->break_off();
+  }
+}
+
 void exchange::abort() {
   done_ = true;
   if (const auto to = connection_.lock()) {
--- a/libs/http1/exchange.h
+++ b/libs/http1/exchange.h
@@ -48,7 +48,11 @@
   void start(const response& it);
   void send_chunk(std::string_view data);
   void finish();
-  /// Breaks the connection, so that the caller sees that a started response is not complete.
+  /// Ends a started response that is not complete: the caller gets what was sent, and the
+  /// connection breaks behind it.
+  void break_off();
+  /// Breaks the connection at once, so that the caller sees that a started response is not
+  /// complete. What was not written yet is dropped.
   void abort();
 
   /// Sets what is called, once, when the caller leaves before the response is finished.
--- a/libs/http1/server_connection.cpp
+++ b/libs/http1/server_connection.cpp
@@ -318,6 +318,11 @@
   end_response();
 }
 
+void server_connection::break_off() {
+  keep_alive_ = false;
+  end_response();
+}
+
 void server_connection::end_response() {
   exchange_.reset();
   chunked_ = false;
--- a/libs/http1/server_connection.h
+++ b/libs/http1/server_connection.h
@@ -57,6 +57,8 @@
   void send_start(const response& it);
   void send_chunk(std::string_view data);
   void send_end();
+  /// Closes the connection behind what was sent, without the end of the response.
+  void break_off();
   void close();
   /// Closes the connection if no request is in progress and nothing is left to send.
   void close_if_idle();
--- a/libs/instance/endpoint_calls.cpp
+++ b/libs/instance/endpoint_calls.cpp
@@ -470,7 +470,7 @@
     } else if (outcome == http1::call_outcome::complete) {
       from->finish();
     } else {
-      from->abort();
+      from->break_off();
     }
   };
   const auto call = std::make_shared<routed_call>(*this, std::move(request), std::move(callbacks));
--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -514,7 +514,7 @@
     if (complete_stream) {
       exchange_->finish();
     } else {
-      exchange_->abort();
+      exchange_->break_off();
     }
     finish_request(200, complete_stream ? "stream" : "stream_broken");
   }
--- a/tests/http1/server_test.cpp
+++ b/tests/http1/server_test.cpp
@@ -185,6 +185,20 @@
     CHECK(caller->received.find("0\r\n\r\n") == std::string::npos);
   }
 
+  SECTION("a stream that is broken off arrives up to its break") {
+    // Guards against events that had arrived and are dropped because their server breaks off.
+    const std::string piece(32UL * 1024 * 1024, 'b');
+    hold = true;
+    caller->send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(loop->run_until([&] { return held != nullptr; }, patience));
+    held->start({200, {}, {}});
+    held->send_chunk(piece);
+    held->break_off();
+    REQUIRE(loop->run_until([&] { return caller->closed_by_peer; }, patience));
+    CHECK(caller->received.size() > piece.size());
+    CHECK(caller->received.find("0\r\n\r\n") == std::string::npos);
+  }
+
   SECTION("a connection is busy until its caller has received the whole response") {
     // More than the buffers of the system hold.
     const std::string body(32UL * 1024 * 1024, 'b');
--- a/tests/platform/broken_response_test.cpp
+++ b/tests/platform/broken_response_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <chrono>
 
 #include "endpoint_links.h"
@@ -21,6 +22,19 @@
 constexpr std::string_view stream_body =
     "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
 
+/// Bytes of the text in the first `n` bytes of `stream_body`.
+std::size_t data_bytes(std::size_t n) {
+  constexpr std::size_t chunk_bytes = 20;
+  constexpr std::size_t size_line_bytes = 3;
+  constexpr std::size_t text_bytes = 15;
+  std::size_t sum = 0;
+  for (std::size_t start = size_line_bytes; start < n && sum < stream_text.size();
+       start += chunk_bytes) {
+    sum += std::min(n - start, text_bytes);
+  }
+  return sum;
+}
+
 /// How a replica ends a response early.
 enum class ending { close, reset };
 
@@ -160,6 +174,9 @@
         CHECK_FALSE(seen.complete);
         CHECK(seen.status == 200);
         CHECK(stream_text.starts_with(seen.body));
+        if (it.how == ending::close) {
+          CHECK(seen.body.size() == data_bytes(it.sent_bytes - stream_head.size()));
+        }
       }
     });
   }
