Break off a stream that ends inside an event

Cause: the forwarder took the end of the HTTP message for the end of the stream. The system of a killed process closes its connections in order, so the message looks whole; a length or chunks that are complete inside an event did the same.

Change: net::event_boundary follows the lines of a stream and knows whether an event has begun whose empty line has not come, without keeping bytes. A stream of events that ends inside one is broken off behind what arrived, on resumable routes too, where callers ask for the rest as after any other break. attempt_failed says why a stream broke.

--- a/libs/instance/forwarder.cpp
+++ b/libs/instance/forwarder.cpp
@@ -8,6 +8,7 @@
 #include "base/overloaded.h"
 #include "instance/call_limits.h"
 #include "instance/error_response.h"
+#include "net/event_boundary.h"
 
 namespace boragedoor::instance {
 
@@ -39,6 +40,15 @@
   return status >= 200 && status < 300;
 }
 
+/// Whether a response is a series of events, which is what a stream's response is unless it states
+/// another type.
+bool is_event_stream(const http1::response& head) {
+  constexpr std::string_view event_stream = "text/event-stream";
+  const std::string_view type = net::find_header(head.headers, "Content-Type");
+  return type.empty() ||
+         http1::equal_ignoring_case(type.substr(0, event_stream.size()), event_stream);
+}
+
 } // namespace
 
 http1::response refusal_response(dispatch::route_refusal reason) {
@@ -179,6 +189,8 @@
     time_point sent_at;
     bool execution_started = false;
     bool streaming = false;
+    /// Where the stream stands, if it is one of events.
+    std::optional<net::event_boundary> position{};
     /// What has arrived of a continued stream whose process is not verified yet.
     std::optional<unverified_stream> unverified{};
   };
@@ -335,6 +347,9 @@
     if (route_.matched_route->kind == dispatch::route_kind::stream && is_success(head.status) &&
         !reply.signature.empty()) {
       it->streaming = true;
+      if (is_event_stream(head)) {
+        it->position.emplace();
+      }
       http1::response started{head.status, context_.protocol.forwarded_headers(head), {}};
       if (request_.continues_stream) {
         it->unverified = {.head = std::move(started), .data = {}};
@@ -368,7 +383,7 @@
     const unverified_stream stream = *std::exchange(it->unverified, std::nullopt);
     if (verdict == process_verdict::confirmed && !stream.too_large) {
       exchange_->start(stream.head);
-      exchange_->send_chunk(stream.data);
+      send_piece(*it, stream.data);
       if (stream.end) {
         std::erase(attempts_, it);
         end_stream(*it, *stream.end);
@@ -405,8 +420,15 @@
         it.unverified->data += data;
       }
     } else if (it.streaming) {
-      exchange_->send_chunk(data);
+      send_piece(it, data);
+    }
+  }
+
+  void send_piece(attempt& it, std::string_view data) {
+    if (it.position) {
+      it.position->feed(data);
     }
+    exchange_->send_chunk(data);
   }
 
   void on_end(const std::shared_ptr<attempt>& it, http1::call_outcome outcome,
@@ -500,8 +522,12 @@
     owner_.crashes_.check({it.process, request_.attempt_id, fingerprint_});
   }
 
+  /// The system of an endpoint that crashes ends its connections in order, so a stream that ends
+  /// inside an event is broken whatever the connection says.
   void end_stream(const attempt& it, http1::call_outcome outcome) {
-    const bool complete_stream = outcome == http1::call_outcome::complete;
+    const bool ends_in_event = outcome == http1::call_outcome::complete && it.position &&
+                               !it.position->is_between_events();
+    const bool complete_stream = outcome == http1::call_outcome::complete && !ends_in_event;
     if (complete_stream) {
       owner_.crashes_.note_completed(fingerprint_);
     } else {
@@ -514,6 +540,9 @@
     if (complete_stream) {
       exchange_->finish();
     } else {
+      context_.record(
+          event_number::attempt_failed, request_.attempt_id, it.endpoint,
+          {{"reason", ends_in_event ? std::string_view("incomplete_event") : to_string(outcome)}});
       exchange_->break_off();
     }
     finish_request(200, complete_stream ? "stream" : "stream_broken");
