--- a/tests/platform/broken_response_test.cpp
+++ b/tests/platform/broken_response_test.cpp
@@ -118,7 +118,7 @@
     response = std::move(whole);
     sent_bytes = response.size();
     how = ending::close;
-    const seen_response seen = ask(target);
+    seen_response seen = ask(target);
     forget_failures();
     return seen;
   }
