Search the line ends of a stream in linear time

event_boundary searched LF from each position, so a stream whose lines end with CR took time quadratic in the size of a piece. The comment of call::cancel says what it does to the connection.

--- a/libs/http1/call.h
+++ b/libs/http1/call.h
@@ -82,7 +82,8 @@
   call(call&&) = delete;
   call& operator=(call&&) = delete;
 
-  /// Closes the connection; no callback follows.
+  /// Ends the call and resets its connection, so that the system sends no more of the request. No
+  /// callback follows.
   virtual void cancel() = 0;
 };
 
--- a/libs/net/event_boundary.cpp
+++ b/libs/net/event_boundary.cpp
@@ -6,25 +6,30 @@
 namespace boragedoor::net {
 
 void event_boundary::feed(std::string_view bytes) {
-  while (!bytes.empty()) {
+  // The next ones at or behind the position, found once each, so that the time is linear.
+  auto lf = bytes.find('\n');
+  auto cr = bytes.find('\r');
+  std::size_t at = 0;
+  while (at < bytes.size()) {
     awaits_lf_ = false;
     if (std::exchange(after_cr_, false)) {
-      uses_crlf_ = bytes.front() == '\n';
+      uses_crlf_ = bytes[at] == '\n';
       if (uses_crlf_) {
-        bytes.remove_prefix(1);
+        ++at;
         continue;
       }
     }
-    const auto lf = bytes.find('\n');
-    const auto end = std::min(lf, bytes.substr(0, lf).find('\r'));
-    if (end != 0 && !std::exchange(in_line_, true) && bytes.front() != ':') {
+    lf = lf < at ? bytes.find('\n', at) : lf;
+    cr = cr < at ? bytes.find('\r', at) : cr;
+    const auto end = std::min(lf, cr);
+    if (end != at && !std::exchange(in_line_, true) && bytes[at] != ':') {
       in_event_ = true;
     }
     if (end == std::string_view::npos) {
       return;
     }
     end_line(bytes[end]);
-    bytes.remove_prefix(end + 1);
+    at = end + 1;
   }
 }
 
