Log the way to the store

Cause: the log says which calls failed and over which kind of way, but not which way an instance uses from when to when.

--- a/libs/events/catalogue.cpp
+++ b/libs/events/catalogue.cpp
@@ -138,6 +138,8 @@
      "A call to the store was refused or got no answer."},
     {watch_source_changed, info, "watch_source_changed",
      "The instance now follows the store itself, for others, or through another instance."},
+    {store_path_changed, info, "store_path_changed",
+     "Calls to the store now go directly, or through another instance."},
 });
 
 } // namespace
--- a/libs/events/catalogue.h
+++ b/libs/events/catalogue.h
@@ -102,6 +102,7 @@
   store_document_damaged = 1804,
   store_call_failed = 1805,
   watch_source_changed = 1806,
+  store_path_changed = 1807,
 };
 
 /// What the catalogue says about one event.
