Probe the direct way to the store at intervals, whatever relays do

Cause: each failure of a relay put the probe of the direct way off by another second. Calls and relays fail about once a second while the store is away, so an instance went from relay to relay without a probe. Once all relays had failed and the direct way was the target again, nothing probed it at all.

Change: store_path remembers that the direct path has failed, and a probe is due one interval after that and after each probe, until a call over it succeeds. The failure of a probe is not counted, as before.

--- a/libs/instance/store_path.cpp
+++ b/libs/instance/store_path.cpp
@@ -48,6 +48,10 @@
     return false;
   }
   ++failures_;
+  // Failures of relays do not postpone the probe: they may come more often than it.
+  if (address == store_ && !std::exchange(direct_failed_, true)) {
+    next_probe_ = now + options_.probe_interval;
+  }
   const auto next = next_after(address);
   if (!next) {
     return false;
@@ -57,19 +61,20 @@
   } else {
     relay_ = *next;
   }
-  next_probe_ = now + options_.probe_interval;
   return true;
 }
 
-void store_path::report_success(const net::address& address) {
+bool store_path::report_success(const net::address& address) {
   failures_ = 0;
-  if (address == store_) {
-    relay_.reset();
+  if (address != store_) {
+    return false;
   }
+  relay_.reset();
+  return std::exchange(direct_failed_, false);
 }
 
 bool store_path::try_start_probe(time_point now) {
-  if (!relay_ || now < next_probe_) {
+  if (!direct_failed_ || now < next_probe_) {
     return false;
   }
   next_probe_ = now + options_.probe_interval;
--- a/libs/instance/store_path.h
+++ b/libs/instance/store_path.h
@@ -8,8 +8,11 @@
 
 namespace boragedoor::instance {
 
+/// How often `store_path::try_start_probe` is called.
+inline constexpr duration probe_check_interval = milliseconds(250);
+
 struct store_path_options {
-  /// Time after a failure, and between two probes, before the direct path is probed.
+  /// Time from a failure of the direct path to its first probe, and between two probes.
   duration probe_interval = seconds(1);
   /// Failures in a row, each at another address if there are relays, after which calls are paused.
   int failures_before_pause = 4;
@@ -42,10 +45,12 @@
   bool try_start_call(time_point now);
   /// Reports that a call to `address` got no usable response. Returns true if the target changed.
   bool report_failure(const net::address& address, time_point now);
-  /// Reports that the store responded to a call sent to `address`.
-  void report_success(const net::address& address);
-  /// Returns true if the direct path is due for a probe, at most once per probe interval. The
-  /// caller then sends a call whose result is not needed.
+  /// Reports that the store responded to a call sent to `address`. Returns true if the direct path
+  /// works again after a failure.
+  bool report_success(const net::address& address);
+  /// Returns true if the direct path is due for a probe: once per probe interval from its failure
+  /// until a call over it succeeds. The caller then sends a call whose result is not needed, and
+  /// reports only its success.
   bool try_start_probe(time_point now);
 
 private:
@@ -54,6 +59,8 @@
   std::vector<net::address> relays_;
   /// The relay in use; nullopt while the direct path is used.
   std::optional<net::address> relay_;
+  /// Whether a call over the direct path failed and none has succeeded since.
+  bool direct_failed_ = false;
   time_point next_probe_{};
   int failures_ = 0;
   time_point next_paused_call_{};
--- a/tests/platform/store_path_test.cpp
+++ b/tests/platform/store_path_test.cpp
@@ -1,5 +1,7 @@
 #include "instance/store_path.h"
 
+#include <vector>
+
 #include <catch2/catch.hpp>
 
 namespace boragedoor::instance {
@@ -10,6 +12,8 @@
 const net::address store{"10.0.0.1", 90};
 const net::address first{"10.0.0.2", 91};
 const net::address second{"10.0.0.3", 91};
+const net::address third{"10.0.0.4", 91};
+const net::address fourth{"10.0.0.5", 91};
 
 } // namespace
 
@@ -52,6 +56,52 @@
     CHECK(path.is_direct());
   }
 
+  SECTION("the direct path is probed at intervals until a call over it succeeds") {
+    constexpr duration check_interval = milliseconds(250);
+    /// Starts the probes that are due and returns their times.
+    const auto run_for = [&](duration length, const auto& fail) {
+      std::vector<duration> probes;
+      for (duration at{}; at <= length; at += check_interval) {
+        fail(start + at);
+        if (path.try_start_probe(start + at)) {
+          probes.push_back(at);
+        }
+      }
+      return probes;
+    };
+    const std::vector<duration> each_second = {seconds(1), seconds(2), seconds(3)};
+
+    SECTION("also if relays fail more often than that") {
+      // Guards against an instance that tries relay after relay while the store serves it again.
+      path.set_relays({first, second, third, fourth});
+      path.report_failure(store, start);
+      CHECK(run_for(seconds(3), [&](time_point now) {
+              if (now - start == milliseconds(750) || now - start == milliseconds(1500)) {
+                path.report_failure(path.target(), now);
+              }
+            }) == each_second);
+    }
+    SECTION("also once all relays have failed") {
+      // Guards against a watch that waits over the direct path without any call that shows whether
+      // the store answers there.
+      path.set_relays({first});
+      path.report_failure(store, start);
+      path.report_failure(first, start);
+      REQUIRE(path.is_direct());
+      CHECK(run_for(seconds(3), [](time_point) {}) == each_second);
+    }
+    SECTION("also if there is no relay, and however often the direct path fails") {
+      CHECK(run_for(seconds(3), [&](time_point now) { path.report_failure(store, now); }) ==
+            each_second);
+    }
+    SECTION("and not after that") {
+      path.set_relays({first});
+      path.report_failure(store, start);
+      path.report_success(store);
+      CHECK(run_for(seconds(3), [](time_point) {}).empty());
+    }
+  }
+
   SECTION("calls are paused when the store refuses every path") {
     // Guards against hundreds of instances that each repeat their refused calls many times a
     // second.
