--- a/tests/platform/link_stand_in.cpp
+++ b/tests/platform/link_stand_in.cpp
@@ -113,6 +113,12 @@
   }
 }
 
+void link_stand_in::silence_open_connections() {
+  for (connection& it : connections_) {
+    it.is_silent = true;
+  }
+}
+
 void link_stand_in::pass_held_bytes() {
   std::vector<connection*> closed;
   for (connection& it : connections_) {
@@ -151,7 +157,7 @@
 
 void link_stand_in::on_read(bufferevent* from, void* pair) {
   auto* it = static_cast<connection*>(pair);
-  if (it->owner->state_ != link_state::hanging) {
+  if (it->owner->state_ != link_state::hanging && !it->is_silent) {
     bufferevent_write_buffer(from == it->near ? it->far : it->near, bufferevent_get_input(from));
   }
 }
--- a/tests/platform/link_stand_in.h
+++ b/tests/platform/link_stand_in.h
@@ -39,6 +39,8 @@
   link_stand_in& operator=(link_stand_in&&) = delete;
 
   void set_state(link_state state);
+  /// Lets nothing more pass on the connections that are open, in any state; new ones work.
+  void silence_open_connections();
   [[nodiscard]] const net::address& address() const { return address_; }
 
 private:
@@ -46,6 +48,7 @@
     link_stand_in* owner = nullptr;
     bufferevent* near = nullptr;
     bufferevent* far = nullptr;
+    bool is_silent = false;
     /// Whether the instance has closed or reset its side while the link was hanging.
     bool is_closed_by_near = false;
     bool is_reset_by_near = false;
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "instance/relay_listener.h"
+#include "link_stand_in.h"
 #include "store_stand_in.h"
 
 namespace boragedoor::platform {
@@ -168,4 +169,119 @@
   }
 }
 
+TEST_CASE("the direct way to the store works again while calls wait") {
+  // Pattern: the store does not serve an instance for some seconds, which reaches it through a
+  // relay. When the store is back, the relay is frozen or cut off. Changes of keys and routes have
+  // to be known two seconds after they are acknowledged.
+  auto loop = net::event_loop::create().value();
+  store_stand_in store(*loop);
+  const auto relay =
+      instance::relay_listener::listen(*loop, {"127.0.0.1", 0}, store.second_address(),
+                                       [](const auto&) { return false; })
+          .value();
+  link_stand_in relay_link(*loop, relay->local_address());
+  link_stand_in store_link(*loop, store.address());
+  int failed_watches = 0;
+  store_client client(*loop, store_link.address(),
+                      [&](std::string_view call, auto, std::string_view reason) {
+                        failed_watches += call == "watch" && !reason.empty() ? 1 : 0;
+                      },
+                      nullptr, {.probe_interval = milliseconds(50)});
+  const auto until = [&](const auto& done) {
+    REQUIRE(loop->run_until(
+        [&] {
+          client.tick();
+          return done();
+        },
+        patience));
+  };
+  const auto read = [&](const std::string& key) {
+    std::optional<instance::read_answer> out;
+    client.read(key, [&](instance::read_answer it) { out = std::move(it); });
+    until([&] { return out.has_value(); });
+    return out->status;
+  };
+  // Far longer than the test waits: a call that is not moved gets no answer in time.
+  constexpr duration watch_wait = seconds(60);
+  std::optional<instance::watch_answer> seen;
+  const auto watch = [&] {
+    const int before = store.calls("/kv-watch");
+    client.watch("p/", 10, watch_wait, [&](instance::watch_answer it) { seen = std::move(it); });
+    until([&] { return store.calls("/kv-watch") > before; });
+  };
+
+  SECTION("and the relay that they wait on does not answer any more") {
+    client.set_relays({relay_link.address()});
+    store.set_fault(store_fault::refuse);
+    REQUIRE(read("a") == store_status::missing);
+
+    SECTION("a watch learns of a change over the direct way") {
+      watch();
+      relay_link.set_state(link_state::hanging);
+      const bool changed_before = GENERATE(true, false);
+      if (changed_before) {
+        store.put("p/a", 1);
+      }
+      store.set_fault(store_fault::none);
+      until([&] { return store.calls("/kv-watch") == 2; });
+      if (!changed_before) {
+        store.put("p/a", 1);
+      }
+      until([&] { return seen.has_value(); });
+      CHECK(seen->status == store_status::ok);
+      CHECK(seen->events.size() == 1);
+      // It did not fail, and it cost the store one more call.
+      CHECK(failed_watches == 0);
+      CHECK(store.calls("/kv-watch") == 2);
+    }
+
+    SECTION("a list is answered over the direct way") {
+      relay_link.set_state(link_state::hanging);
+      std::optional<instance::list_answer> page;
+      client.list("p/", {}, [&](instance::list_answer it) { page = std::move(it); });
+      store.set_fault(store_fault::none);
+      until([&] { return page.has_value(); });
+      CHECK(page->status == store_status::ok);
+    }
+
+    SECTION("a change is not sent twice") {
+      relay_link.set_state(link_state::hanging);
+      std::optional<instance::commit_answer> out;
+      client.commit({.expected = {}, .puts = {{"a", "1", 0}}, .removed = {}},
+                    [&](instance::commit_answer it) { out = std::move(it); });
+      store.set_fault(store_fault::none);
+      until([&] { return out.has_value(); });
+      CHECK(out->status == store_status::unknown);
+      CHECK(store.calls("/kv-txn") == 0);
+    }
+  }
+
+  SECTION("and a watch was lost on it before") {
+    // Guards against a watch on a connection that went silent: nothing arrives there, although new
+    // connections work.
+    watch();
+    REQUIRE(read("a") == store_status::missing);
+    store_link.silence_open_connections();
+    CHECK(read("a") == store_status::unknown);
+    store.put("p/a", 1);
+    until([&] { return seen.has_value(); });
+    CHECK(seen->status == store_status::ok);
+    CHECK(seen->events.size() == 1);
+  }
+
+  SECTION("a watch that was sent after that stays") {
+    client.set_relays({relay_link.address()});
+    store.set_fault(store_fault::refuse);
+    REQUIRE(read("a") == store_status::missing);
+    store.set_fault(store_fault::none);
+    until([&] { return client.is_direct(); });
+    watch();
+    REQUIRE(read("a") == store_status::missing);
+    CHECK(store.calls("/kv-watch") == 1);
+    store.put("p/a", 1);
+    until([&] { return seen.has_value(); });
+    CHECK(store.calls("/kv-watch") == 1);
+  }
+}
+
 } // namespace boragedoor::platform
