Repeat a watch that timed out without a further delay

What callers could see: a change of keys or routes up to 0.9 s later than allowed.

Cause: prefix_watch waited up to a second after each failure, also after a watch that was lost and had lasted 2.8 s. The assertion that such a watch ends within three seconds left this delay out.

Change: the delay counts from the failed call, because it limits how often the store is called. A refused call waits for it as before; a list or watch that timed out has lasted longer and is repeated at once.

Test: "a prefix watch that fails is repeated" (platform_store_test): failed for the watch that had lasted longer than its delay, holds now.

--- a/libs/instance/prefix_watch.cpp
+++ b/libs/instance/prefix_watch.cpp
@@ -25,6 +25,7 @@
     listed_revisions_.clear();
     list_revision_ = 0;
   }
+  call_sent_ = loop_.now();
   store_.list(prefix_, after, [this, alive = alive_](const list_answer& page) {
     if (*alive) {
       apply_page(page);
@@ -35,7 +36,7 @@
 void prefix_watch::apply_page(const list_answer& page) {
   if (page.status != store_status::ok) {
     set_reachable(false);
-    retry([this] { list({}); });
+    retry(loop_.now(), [this] { list({}); });
     return;
   }
   set_reachable(true);
@@ -76,6 +77,7 @@
 }
 
 void prefix_watch::watch() {
+  call_sent_ = loop_.now();
   store_.watch(prefix_, revision_, options_.wait, [this, alive = alive_](const watch_answer& it) {
     if (*alive) {
       apply_events(it);
@@ -95,7 +97,7 @@
   case store_status::refused:
   case store_status::unknown:
     set_reachable(false);
-    retry([this] { watch(); });
+    retry(loop_.now(), [this] { watch(); });
     return;
   }
   set_reachable(true);
@@ -140,9 +142,10 @@
   }
 }
 
-void prefix_watch::retry(std::function<void()> step) {
+void prefix_watch::retry(time_point now, std::function<void()> step) {
   retry_delay_ = std::clamp(retry_delay_ * 2, options_.min_retry_delay, options_.max_retry_delay);
-  run_after(retry_delay_, std::move(step));
+  // The delay limits how often the store is called. A call that timed out has lasted longer.
+  run_after(std::max(call_sent_ + retry_delay_ - now, duration::zero()), std::move(step));
 }
 
 void prefix_watch::run_after(duration delay, std::function<void()> step) {
--- a/libs/instance/prefix_watch.h
+++ b/libs/instance/prefix_watch.h
@@ -15,7 +15,7 @@
 /// Wait of watches whose changes must be applied quickly: keys, routes and draining endpoints. A
 /// watch sent just before a broken link recovers may be lost. Including its timeout slack, it must
 /// end within the three seconds after which the instance counts as connected again, so that a
-/// change still takes effect within the two seconds allowed for it.
+/// change still takes effect within the two seconds allowed for it. It is repeated at once then.
 inline constexpr duration prompt_watch_wait = seconds(2);
 inline constexpr duration max_lost_watch_time = seconds(3);
 
@@ -26,7 +26,7 @@
   /// Pause between a response with changes and the next call, so that one call returns several
   /// changes made in quick succession.
   duration pause = duration::zero();
-  /// Delay after a failed call; doubles up to `max_retry_delay`.
+  /// Shortest time from a failed call to its repetition; doubles up to `max_retry_delay`.
   duration min_retry_delay = milliseconds(100);
   duration max_retry_delay = seconds(1);
 };
@@ -69,7 +69,7 @@
   void put(const stored_item& it);
   void remove(const std::string& key);
   void set_reachable(bool reachable);
-  void retry(std::function<void()> step);
+  void retry(time_point now, std::function<void()> step);
   void run_after(duration delay, std::function<void()> step);
 
   net::event_loop& loop_;
@@ -83,6 +83,8 @@
   std::uint64_t revision_ = 0;
   std::uint64_t list_revision_ = 0;
   duration retry_delay_{};
+  /// When the last call was sent.
+  time_point call_sent_{};
   bool started_ = false;
   bool synced_ = false;
   bool reachable_ = true;
