Let a relay of store calls wait as long as its sender

What callers could see: an instance that reaches the store through another one only takes the members' watch (10 s) for a failure of the relay, leaves it and starts its other watches again after a delay.

Cause: a relay ended each call to the store after 5 s without a byte. The watch ended with 504, which the sender takes for silence.

The code that states and reads it has moved to stated_timeout, and clamps the number before it converts it.

--- a/libs/instance/endpoint_calls.cpp
+++ b/libs/instance/endpoint_calls.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "instance/call_limits.h"
+#include "instance/stated_timeout.h"
 
 namespace boragedoor::instance {
 
@@ -24,20 +25,13 @@
 
 /// Relays that are tried for one request. One that is cut off says so within milliseconds.
 constexpr std::size_t max_relays = 16;
-/// Longest time without a byte of the response to a forwarded request. The instance that sent it
-/// states its own, shorter limit, because a link that is cut hides that it has given the request
-/// up. It must notice the end of that time first, so the forwarding instance adds a margin.
-constexpr duration forward_timeout = seconds(30);
-constexpr duration forward_margin = milliseconds(500);
 
 /// Headers between instances. A request names the endpoint and the attempt; `connection_header`
-/// asks for a new connection, `check_header` only whether the endpoint takes connections, and
-/// `timeout_header` states the longest time without a byte of the response, in milliseconds.
+/// asks for a new connection, and `check_header` only whether the endpoint takes connections.
 constexpr std::string_view endpoint_header = "Boragedoor-Endpoint";
 constexpr std::string_view attempt_header = "Boragedoor-Attempt";
 constexpr std::string_view connection_header = "Boragedoor-Connection";
 constexpr std::string_view check_header = "Boragedoor-Check";
-constexpr std::string_view timeout_header = "Boragedoor-Timeout";
 /// In each response of a relay: "response" if it is that of the endpoint, otherwise why there is
 /// none.
 constexpr std::string_view outcome_header = "Boragedoor-Outcome";
@@ -60,15 +54,6 @@
   std::erase_if(list, [](const auto& it) { return is_relay_header(it.first); });
 }
 
-/// Returns how long a forwarded request may be without a byte of its response. Instances of earlier
-/// versions do not state it.
-duration forwarded_timeout(const net::headers& list) {
-  const auto stated = http1::integer_header(list, timeout_header);
-  return stated ? std::clamp<duration>(milliseconds(*stated), duration::zero(), forward_timeout) +
-                      forward_margin
-                : forward_timeout;
-}
-
 http1::call_outcome outcome_from(std::string_view text) {
   for (const auto it : {http1::call_outcome::not_connected, http1::call_outcome::timed_out,
                         http1::call_outcome::malformed, http1::call_outcome::invalid_request}) {
@@ -202,8 +187,7 @@
     remove_relay_headers(headers);
     headers.emplace_back(endpoint_header, request_.endpoint);
     headers.emplace_back(attempt_header, request_.attempt);
-    headers.emplace_back(timeout_header,
-                         std::to_string(to_milliseconds(request_.progress_timeout)));
+    state_timeout(headers, request_.progress_timeout);
     if (request_.new_connection) {
       headers.emplace_back(connection_header, new_connection);
     }
@@ -437,7 +421,7 @@
       .address = to.address,
       .attempt = std::string(net::find_header(received.headers, attempt_header)),
       .message = [message = std::move(message)] { return message; },
-      .progress_timeout = forwarded_timeout(received.headers),
+      .progress_timeout = stated_timeout(received.headers, max_stated_timeout),
       .new_connection = net::find_header(received.headers, connection_header) == new_connection,
       .max_body_bytes = max_forwarded_bytes};
   // Dropped with the callbacks, however the request ends.
--- a/libs/instance/relay_listener.cpp
+++ b/libs/instance/relay_listener.cpp
@@ -4,13 +4,14 @@
 
 #include "instance/call_limits.h"
 #include "instance/error_response.h"
+#include "instance/stated_timeout.h"
 
 namespace boragedoor::instance {
 
 namespace {
 
-/// Longer than the wait of a watch, which is a few seconds. The caller has its own timeout.
-constexpr duration progress_timeout = seconds(5);
+/// Longest time without a byte of an answer of the store, if the sender does not state its own.
+constexpr duration default_timeout = seconds(5);
 /// Callers' requests to endpoints have up to the limit of the configuration, and a few more
 /// headers.
 constexpr std::size_t max_header_bytes = 128UL * 1024;
@@ -58,12 +59,12 @@
                   {},
                   exchange->received().shared_body};
   for (const auto& [name, value] : exchange->received().headers) {
-    if (!http1::is_hop_by_hop(name)) {
+    if (!http1::is_hop_by_hop(name) && !http1::equal_ignoring_case(name, timeout_header)) {
       spec.message.headers.emplace_back(name, value);
     }
   }
   spec.connect_timeout = connect_timeout;
-  spec.progress_timeout = progress_timeout;
+  spec.progress_timeout = stated_timeout(exchange->received().headers, default_timeout);
   http1::call_callbacks callbacks;
   callbacks.on_end = [exchange](http1::call_outcome outcome, const http1::response& it) {
     if (outcome == http1::call_outcome::complete) {
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -162,6 +162,14 @@
       store.set_fault(store_fault::refuse, 1);
       CHECK(read("a").status == store_status::ok);
     }
+    SECTION("also with a watch that waits for longer than other calls") {
+      // Guards against a relay that ends such a watch, so that the instance takes the relay for one
+      // that does not reach the store.
+      std::optional<instance::watch_answer> seen;
+      client.watch("p/", 10, seconds(6), [&](instance::watch_answer it) { seen = std::move(it); });
+      REQUIRE(loop->run_until([&] { return seen.has_value(); }, patience));
+      CHECK(seen->status == store_status::ok);
+    }
     SECTION("and is told if the other one does not reach it either") {
       store.set_fault(store_fault::refuse, 1);
       CHECK(read("a").status != store_status::ok);
